--- /dev/null
+++ b/dunepulley/__init__.py
@@ -0,0 +1,1 @@
+"""dunepulley: a dispatcher that pushes work items to workers."""
--- /dev/null
+++ b/dunepulley/brain.py
@@ -0,0 +1,833 @@
+"""Every decision of the dispatcher, and nothing else.
+
+How to call: `Dispatcher(seed, settings, now)`, then `handle(now, events)` with each batch of events, which
+returns the commands in the order they are to be carried out. Its interface, the types of events and commands,
+is `dunepulley/interface.py`. `settings` is a plain map of names to values; unknown names are ignored, absent
+ones have defaults. The module is pure: time is what it is told, chance comes from the seed, and dispatchers
+share nothing.
+
+The ordinary path (docs/design.md): each control period a worker's share follows its reported consumption
+rate, is cut to 9/10 where its reported load is over the limit, and work items go out in evenly spread
+weighted turns.
+
+The mechanisms beside the design:
+ 1. fit: a worker without a free slot is passed over, and a work item for which there is none is held;
+ 2. moving: a hand-off that has not begun in time goes to a worker with a free slot, if the category allows;
+ 3. sickness: a worker that breaks, errs or cannot be reached gets no turns for a while, then single trials;
+ 4. further hand-offs are paid from a credit that follows how many of the recent ones succeeded;
+ 5. held work items are served by payoff for their work, and given up when waiting cannot pay any more;
+ 6. cold workers get what fits a budget that holds even if every other dispatcher does the same.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Generator
+from heapq import heappop, heappush
+from typing import Any
+
+from dunepulley.interface import (
+    CHANGES,
+    CUT,
+    DISK_LIST,
+    ERRED,
+    EXCLUSIVE,
+    FINISHED,
+    FULL,
+    LEFT,
+    LIST_ERROR,
+    NEVER_RAN,
+    NOT_CONNECTED,
+    NOT_SENT,
+    READY,
+    RERUNNABLE,
+    TAKEN_BACK,
+    TICKETED,
+    TIMED_OUT,
+    Alarm,
+    Arrived,
+    Began,
+    Defer,
+    Ended,
+    Entry,
+    Follow,
+    HandOff,
+    ListNews,
+    Probe,
+    Probed,
+    SetAlarm,
+    Streaming,
+    TakeBack,
+    Withdrawn,
+    WriteOff,
+)
+
+NEVER = float("inf")
+
+# What the course of a work item can want ...
+HAND_OFF, HOLD, WAIT, TAKE_BACK, GIVE_UP = "hand off", "hold", "wait", "take back", "give up"
+# ... and be told, beside how a hand-off ended.
+BEGUN, TIME, TRY, BARRED = "begun", "time", "try", "barred"
+
+
+class Chance:
+    """A linear congruential generator (Knuth's MMIX constants); only the high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = (seed * 2 + 1) & 0xFFFFFFFFFFFFFFFF
+
+    def part(self) -> float:
+        """A number in [0, 1)."""
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        return (self.state >> 32) / 4294967296.0
+
+
+class Category:
+    """What the settings say of a category, and the running time learned for it."""
+
+    def __init__(self, number: int, settings: dict[str, Any]) -> None:
+        def said(name: str, default: Any) -> Any:
+            return settings.get(f"categories.{number}.{name}", default)
+
+        stretches = listed(settings.get("familyInfo.classStretch"))
+        kinds = listed(settings.get("familyInfo.classKind"))
+        self.due = said("dueTimeMs", 1000.0)
+        self.expiry = said("expiryMs", 10000.0)
+        self.stretch = said("aimStretch", stretches[number] if number < len(stretches) else 0.0)
+        self.payoff = said("payoff", 1.0)
+        self.late_payoff = said("overduePayoff", 0.0)
+        # A category whose effect is not told, or a group that we don't know, must never run twice.
+        self.effect = said("effect", EXCLUSIVE)
+        self.group = said("keyScope", "") if self.effect == TICKETED else "all"
+        if self.group not in ("all", "zone", "cell"):
+            self.effect = EXCLUSIVE
+        self.window = said("windowMs", 0.0)
+        self.kind = int(kinds[number]) if number < len(kinds) else -1
+        # The mean running time, until it is known: an eighth of the expiry, which is several times the work.
+        self.run_sum, self.run_count = self.expiry / 8, 1.0
+
+    def mean_run(self) -> float:
+        return self.run_sum / self.run_count
+
+    def saw(self, run: float) -> None:
+        """Learn from one running time; about the last hundred count."""
+        self.run_sum = self.run_sum * 0.99 + run
+        self.run_count = self.run_count * 0.99 + 1.0
+
+
+class Tried:
+    """One hand-off of a work item."""
+
+    __slots__ = ("worker", "sent", "begun", "done", "result", "late")
+
+    def __init__(self, worker: int, sent: float) -> None:
+        self.worker = worker
+        self.sent = sent
+        self.begun = 0.0
+        self.done = 0.0
+        self.result = ""
+        self.late = False
+
+
+class Item:
+    """A work item that this dispatcher owes an answer, or whose hand-offs are still out."""
+
+    __slots__ = (
+        "wi",
+        "category",
+        "expiry",
+        "due",
+        "latest",
+        "slots",
+        "work",
+        "value",
+        "tried",
+        "out",
+        "over",
+        "course",
+        "waiting",
+        "stamp",
+        "held_since",
+    )
+
+    def __init__(self, wi: str, category: Category) -> None:
+        self.wi = wi
+        self.category = category
+        self.tried: list[Tried] = []
+        self.out = 0
+        self.over = False
+        self.waiting = ""
+        self.stamp = 0
+
+
+def listed(value: Any) -> tuple:
+    """A setting that may hold one value or several."""
+    return () if value is None else value if isinstance(value, tuple) else (value,)
+
+
+class Dispatcher:
+    """Decides for one dispatcher, from its own events alone."""
+
+    def __init__(self, seed: int, settings: dict[str, Any], now: float) -> None:
+        self.now = now
+        self.settings = settings
+        self.chance = Chance(seed)
+        self.commands: list[Any] = []
+        self.items: dict[str, Item] = {}
+        self.held: list[Item] = []
+        self.freed = False
+        self.deadlines: list[tuple] = []
+        self.order = 0
+        self.alarm_at, self.token = NEVER, 0
+        say = settings.get
+        self.categories: dict[str, Category] = {}
+        for number in range(int(say("categories.count", 0))):
+            self.categories[say(f"categories.{number}.name", str(number))] = Category(number, settings)
+        self.dispatchers = max(1.0, say("balancers", 1.0))
+        self.zone = say("zone", "")
+        self.asked = say("discovery", "pushed") == "asked"
+        self.most = int(say("policyLimits.mostHandOffs", 1))
+        self.copies = bool(say("policyLimits.secondCopies", False))
+        self.can_take_back = bool(say("policyLimits.cancel", False))
+        self.can_probe = bool(say("policyLimits.probing", False))
+        self.tells_start = bool(say("familyInfo.tellsStart", False))
+        self.by_work = say("payoffBy", "request") == "work"
+        # Workers, under a dense index.
+        self.index: dict[str, int] = {}
+        self.name: list[str] = []
+        self.zone_of: list[str] = []
+        self.cell_of: list[str] = []
+        self.kind_of: list[str] = []
+        self.state: list[str] = []
+        self.units: list[float] = []
+        self.since: list[float] = []
+        self.share: list[float] = []
+        self.turn_at: list[float] = []
+        self.rate: list[float] = []
+        self.heard: list[float] = []
+        self.queue: list[float] = []
+        self.fulls: list[int] = []
+        self.own: list[float] = []
+        self.own_mean: list[float] = []
+        self.others: list[float] = []
+        self.busy: list[float] = []
+        self.run_seen: list[float] = []
+        self.run_due: list[float] = []
+        self.start_ms: list[float] = []
+        self.trouble: list[float] = []
+        self.out_until: list[float] = []
+        self.out_step: list[float] = []
+        self.full_until: list[float] = []
+        self.sent_cold: list[deque] = []
+        self.last_report: list[dict[str, float] | None] = []
+        self.kind_slots: dict[str, float] = {}
+        self.turn_now = 0.0
+        self.credit = 5.0
+        self.further_success = 1.0
+        self.arrived = 0
+        self.list_errors = 0
+        self.list_pending = False
+        self.probes_due = 0.0
+        self.service_mean = 0.0
+        self.mean_work = 500.0
+        # Start somewhere in the period, so that dispatchers started together don't steer in step.
+        self._at(now + self.chance.part() * PERIOD, self._control)
+        self._at(now, self._fade)
+        if self.asked:
+            self._at(now, self._follow)
+
+    # ---------------------------------------------------------------- events
+
+    def handle(self, now: float, events: list[Any]) -> list[Any]:
+        """Take the events of one moment and return the commands they lead to."""
+        self.now = now
+        self.commands = []
+        for event in events:
+            HANDLERS[type(event)](self, event)
+        while self.deadlines and self.deadlines[0][0] <= now:
+            _, _, what, stamp = heappop(self.deadlines)
+            if not isinstance(what, Item):
+                what()
+            elif what.stamp == stamp and not what.over:
+                self._drive(what, TIME)
+        if self.held and self.freed:
+            self._serve_held()
+        self.freed = False
+        if self.deadlines and self.deadlines[0][0] < self.alarm_at:
+            self.token += 1
+            self.alarm_at = self.deadlines[0][0]
+            self.commands.append(SetAlarm(self.alarm_at - now, self.token))
+        return self.commands
+
+    def _on_alarm(self, event: Alarm) -> None:
+        if event.token == self.token:
+            self.alarm_at = NEVER
+
+    def _at(self, when: float, what: Any, stamp: int = 0) -> None:
+        self.order += 1
+        heappush(self.deadlines, (when, self.order, what, stamp))
+
+    def _on_arrived(self, event: Arrived) -> None:
+        self.arrived += 1
+        # Half a further hand-off is earned by each work item, less where the recent ones did not help.
+        self.credit = min(20.0, self.credit + 0.05 + 0.45 * self.further_success)
+        category = self.categories.get(event.category)
+        if category is None:
+            category = self.categories[event.category] = Category(len(self.categories), {})
+        item = Item(event.wi, category)
+        item.slots = event.slots
+        item.work = event.hint or category.mean_run()
+        self.mean_work += 0.02 * (item.work * item.slots - self.mean_work)
+        item.expiry = self.now + event.budget
+        # A budget shorter than the category's is what earlier tries of the client have left of it.
+        arrived = item.expiry - max(event.budget, category.expiry)
+        item.due = min(arrived + category.due + category.stretch * item.work, item.expiry)
+        item.latest = item.due - item.work
+        item.value = category.payoff if self.by_work else category.payoff / item.work
+        self.items[event.wi] = item
+        item.course = self._course(item)
+        self._drive(item, None)
+
+    def _on_withdrawn(self, event: Withdrawn) -> None:
+        item = self.items.get(event.wi)
+        if item is not None:
+            self._close(item)
+
+    def _on_began(self, event: Began) -> None:
+        item = self.items.get(event.wi)
+        if item is None or event.ho >= len(item.tried):
+            return
+        tried = item.tried[event.ho]
+        if tried.result:
+            return
+        tried.done = event.done
+        if not tried.begun:
+            tried.begun = self.now
+            wait = self.now - tried.sent
+            i = tried.worker
+            # The quickest recent start tells how long a free worker takes; it forgets a twentieth each time.
+            self.start_ms[i] = min(self.start_ms[i] * 1.05, wait)
+            if not item.over:
+                self._drive(item, BEGUN)
+
+    def _on_streaming(self, event: Streaming) -> None:
+        item = self.items.get(event.wi)
+        if item is not None:
+            item.over = True
+            self._forget_hold(item)
+
+    def _on_ended(self, event: Ended) -> None:
+        if event.report:
+            self._heard_of(event.worker, event.report)
+        item = self.items.get(event.wi)
+        if item is None or event.ho >= len(item.tried) or item.tried[event.ho].result:
+            return
+        tried = item.tried[event.ho]
+        tried.result = event.result
+        item.out -= 1
+        i = tried.worker
+        self.own[i] -= item.slots
+        self.full_until[i] = 0.0
+        self.freed = True
+        self._judge(item, tried, event)
+        if event.over and not item.over:
+            self._close(item)
+        if item.over:
+            if item.out == 0:
+                self.items.pop(event.wi, None)
+        else:
+            self._drive(item, event.result)
+
+    def _on_probed(self, event: Probed) -> None:
+        i = self.index.get(event.worker)
+        if i is None:
+            return
+        if event.report:
+            self._heard_of(event.worker, event.report)
+        if event.result == NOT_CONNECTED:
+            self._sicken(i)
+
+    # ---------------------------------------------------------------- the course of a work item
+
+    def _course(self, item: Item) -> Generator[tuple, Any, None]:
+        """A work item from its arrival to its final answer."""
+        patient = True
+        while True:
+            i = self._in_turn(item)
+            if i < 0 and self.now < item.latest and patient:
+                yield HOLD, item.latest
+                continue
+            if i < 0:
+                i = self._least_wait(item)
+            if i < 0:
+                yield GIVE_UP, 0
+                return
+            said = yield HAND_OFF, i
+            if said is BARRED:
+                yield GIVE_UP, 0
+                return
+            while item.out:
+                # Begun or not, look again when it ought to have begun.
+                tried = item.tried[-1]
+                if said is BEGUN:
+                    for number, other in enumerate(item.tried):
+                        if not other.result and not other.begun:
+                            yield TAKE_BACK, number
+                    said = yield WAIT, item.expiry
+                elif said is TIME and self.tells_start and not tried.begun:
+                    tried.late = True
+                    self._is_full(tried.worker)
+                    if self.credit >= 1.0 and len(item.tried) < self.most:
+                        j = self._in_turn(item, tried.worker)
+                        if j >= 0 and self.copies:
+                            said = yield HAND_OFF, j
+                            continue
+                        if j >= 0 and self.can_take_back:
+                            yield TAKE_BACK, len(item.tried) - 1
+                    # Look again after a quarter of a run: a slot is then likely to have come free somewhere.
+                    said = yield WAIT, self.now + max(30.0, 0.25 * item.work)
+                else:
+                    grace = 20.0 + 4.0 * self.start_ms[tried.worker]
+                    said = yield WAIT, (tried.sent + grace if not tried.begun else item.expiry)
+            # No hand-off is out and none finished.
+            if len(item.tried) >= self.most or self.credit < 1.0 or self.now >= item.expiry:
+                yield GIVE_UP, 0
+                return
+
+    def _drive(self, item: Item, said: Any) -> None:
+        """Resume a work item and carry out what it wants, until it waits for news."""
+        item.stamp += 1
+        self._forget_hold(item)
+        while not item.over:
+            want, arg = item.course.send(said)
+            said = None
+            if want is HAND_OFF:
+                if not self._gate(item, arg):
+                    said = BARRED
+                    continue
+                self._hand_off(item, arg)
+            elif want is HOLD:
+                item.waiting = HOLD
+                self.held.append(item)
+                self._at(min(arg, item.expiry), item, item.stamp)
+                return
+            elif want is WAIT:
+                self._at(min(arg, item.expiry + 50.0), item, item.stamp)
+                return
+            elif want is TAKE_BACK:
+                self.commands.append(TakeBack(item.wi, arg))
+            else:
+                self._answer(item)
+
+    def _forget_hold(self, item: Item) -> None:
+        if item.waiting is HOLD:
+            item.waiting = ""
+            self.held.remove(item)
+
+    # ---------------------------------------------------------------- the gate
+
+    def _gate(self, item: Item, i: int) -> bool:
+        """The four rules, asked before every hand-off."""
+        if item.over or len(item.tried) >= self.most or self.now >= item.expiry:
+            return False
+        if self.state[i] != READY or (item.out and not self.copies):
+            return False
+        return self._may_repeat_at(item, i) and self._cold_room(item, i)
+
+    def _may_repeat_at(self, item: Item, i: int) -> bool:
+        """Whether a hand-off to this worker cannot make an effect happen twice."""
+        category = item.category
+        if category.effect == RERUNNABLE or not item.tried:
+            return True
+        for tried in item.tried:
+            if tried.result in NEVER_RAN:
+                continue
+            if category.effect != TICKETED:
+                return False
+            # The hand-off takes a while to arrive: keep a tenth of the window clear.
+            if self.now - tried.sent > category.window * 0.9:
+                return False
+            if category.group == "zone" and self.zone_of[i] != self.zone_of[tried.worker]:
+                return False
+            if category.group == "cell" and self.cell_of[i] != self.cell_of[tried.worker]:
+                return False
+        return True
+
+    def _answer(self, item: Item) -> None:
+        """The final answer: deferred where a repeat is harmless, else written off."""
+        category = item.category
+        harmless = (
+            category.effect == RERUNNABLE
+            or (category.effect == TICKETED and category.group == "all")
+            or all([tried.result in NEVER_RAN for tried in item.tried])
+        )
+        if harmless:
+            # Long enough for a slot to come free; clients that heed it don't crowd a full fleet.
+            advised = bool(self.settings.get("policyLimits.retryAfter", False))
+            longest = self.settings.get("policyLimits.maxRetryAfterMs", 0.0)
+            wait = min(longest, category.mean_run()) if advised else 0.0
+            self.commands.append(Defer(item.wi, wait))
+        else:
+            self.commands.append(WriteOff(item.wi))
+        self._close(item)
+
+    def _close(self, item: Item) -> None:
+        """Nothing more is owed: call off what is still out and forget the rest."""
+        self._forget_hold(item)
+        item.over = True
+        item.course.close()
+        if self.can_take_back:
+            for number, tried in enumerate(item.tried):
+                if not tried.result:
+                    self.commands.append(TakeBack(item.wi, number))
+        if item.out == 0:
+            self.items.pop(item.wi, None)
+
+    def _hand_off(self, item: Item, i: int) -> None:
+        if item.tried:
+            self.credit -= 1.0
+        item.tried.append(Tried(i, self.now))
+        item.out += 1
+        self.own[i] += item.slots
+        if self._cold_age(i) < self.settings.get("rules.coldMs", 0.0):
+            self.sent_cold[i].append((self.now, self._load_of(item, i)))
+        self.commands.append(HandOff(item.wi, self.name[i], item.expiry - self.now))
+
+    # ---------------------------------------------------------------- cold workers
+
+    def _cold_age(self, i: int) -> float:
+        return self.now - self.since[i] if self.since[i] > 0.0 else NEVER
+
+    def _load_of(self, item: Item, i: int) -> float:
+        """Slot-milliseconds that a work item is expected to take at a worker."""
+        return item.slots * item.work * self._slowness(i)
+
+    def _cold_room(self, item: Item, i: int) -> bool:
+        """Whether a hand-off keeps this dispatcher's part of a cold worker's budget.
+
+        The rule counts what all dispatchers send within any span of the stated length, so each takes its own
+        part of what the worker can surely bear at its age.
+        """
+        age = self._cold_age(i)
+        cold = self.settings.get("rules.coldMs", 0.0)
+        if age >= cold:
+            return True
+        span = self.settings.get("rules.tipAfterMs", 1000.0)
+        least = self.settings.get("rules.coldFrom", 0.1)
+        able = least + (1.0 - least) * max(0.0, age) / cold
+        most = self.settings.get("rules.fallMultiple", 1.0) * able * self._slots(i) * span
+        budget = most / self.dispatchers
+        sent = self.sent_cold[i]
+        while sent and sent[0][0] < self.now - span:
+            sent.popleft()
+        return sum([load for _, load in sent]) + self._load_of(item, i) <= budget
+
+    # ---------------------------------------------------------------- picking a worker
+
+    def _slots(self, i: int) -> float:
+        # Not knowing the size means assuming little.
+        return self.kind_slots.get(self.kind_of[i], 1.0)
+
+    def _slowness(self, i: int) -> float:
+        """How long the worker runs a work item, as a multiple of what was expected of it."""
+        return self.run_seen[i] / self.run_due[i]
+
+    def _able(self, item: Item, i: int) -> bool:
+        """Whether a worker may be given this work item at all."""
+        if self.state[i] != READY or self.now < self.out_until[i]:
+            return False
+        if self.out_step[i] and self.own[i] > 0:
+            return False  # a worker on trial gets one work item at a time
+        kinds = item.category.kind
+        if kinds >= 0:
+            names = listed(self.settings.get("kinds"))
+            if kinds < len(names) and names[kinds] != self.kind_of[i]:
+                return False
+        return (not item.tried or self._may_repeat_at(item, i)) and self._cold_room(item, i)
+
+    def _in_turn(self, item: Item, besides: int = -1) -> int:
+        """The next worker in turn that has room for the work item, or -1."""
+        best, best_at = -1, NEVER
+        for i, at in enumerate(self.turn_at):
+            if at >= best_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
+                continue
+            slots = self._slots(i)
+            if slots - self.own[i] - self.others[i] >= min(item.slots, slots) - 0.5 and self._able(item, i):
+                best, best_at = i, at
+        if best >= 0:
+            self._take_turn(best)
+        return best
+
+    def _least_wait(self, item: Item) -> int:
+        """Where the wait is expected to be the shortest, if the answer can still pay; else -1."""
+        best, best_wait = -1, NEVER
+        for i in range(len(self.name)):
+            if self.state[i] == READY and self._able(item, i):
+                ahead = max(0.0, self.own[i] + self.others[i] + item.slots - self._slots(i))
+                wait = ahead / self._slots(i) * self.mean_work * self._slowness(i)
+                if wait < best_wait:
+                    best, best_wait = i, wait
+        late = item.expiry if item.category.late_payoff else item.due
+        if best_wait > late - self.now - item.work * 0.5:
+            return -1
+        if best >= 0:
+            self._take_turn(best)
+        return best
+
+    def _take_turn(self, i: int) -> None:
+        """Count a turn; workers passed over lose theirs and stay evenly spread."""
+        at = self.turn_at[i]
+        for j, other in enumerate(self.turn_at):
+            if other < at:
+                self.turn_at[j] = other + 1.0 / max(self.share[j], 1e-6)
+        self.turn_at[i] = at + 1.0 / max(self.share[i], 1e-6)
+        self.turn_now = max(self.turn_now, at)
+
+    def _is_full(self, i: int) -> None:
+        """A hand-off that does not begin proves that no slot is free there, whatever the report says."""
+        # Until something ends there, or for a fifth of a second: a busy worker frees a slot about that often.
+        self.full_until[i] = self.now + 200.0
+
+    def _serve_held(self) -> None:
+        """Give held work items another look, the best paid for their work first."""
+        self.held.sort(key=lambda item: (-item.value, item.latest))
+        missed = 0
+        for item in list(self.held):
+            if item.waiting is HOLD:
+                self._drive(item, TRY)
+                # Later ones may fit where this one does not, but not many.
+                missed = missed + 1 if item.waiting is HOLD else 0
+                if missed > 3:
+                    break
+
+    # ---------------------------------------------------------------- what is known of workers
+
+    def _heard_of(self, worker: str, report: dict[str, float]) -> None:
+        """Take in a load report."""
+        i = self.index.get(worker)
+        if i is None:
+            return
+        if report == self.last_report[i]:
+            return  # a report is refreshed now and then: the same figures again say nothing new
+        self.last_report[i] = report
+        kind = self.kind_of[i]
+        self.heard[i] = self.now
+        rate = report.get("rate")
+        if rate is not None and 0.0 <= rate < 1e6:
+            rate = max(0.0, rate - max(0.0, report.get("errors", 0.0)))
+            self.rate[i] = rate if self.rate[i] < 0 else 0.5 * (self.rate[i] + rate)
+        self.queue[i] = report.get("queue", -1.0)
+        free = report.get("x0")
+        if free is not None and 0.0 <= free < 1e4:
+            self.kind_slots[kind] = max(self.kind_slots.get(kind, 1.0), float(round(free)))
+            used = max(0.0, self._slots(i) - free) + max(0.0, self.queue[i])
+            self.busy[i] = 0.5 * (self.busy[i] + used)
+            # The report is some way behind: compare it with what this dispatcher had there lately.
+            self.others[i] = 0.5 * (self.others[i] + max(0.0, used - self.own_mean[i]))
+            self.freed = True
+        service = report.get("service_ms", 0.0)
+        if service > 0.0:
+            self.service_mean = 0.95 * self.service_mean + 0.05 * service if self.service_mean else service
+            self._saw_run(i, service, self.service_mean)
+
+    def _fade(self) -> None:
+        """What others have at a worker is believed less as the report ages: it fades to the mean of all."""
+        self._at(self.now + FADE, self._fade)
+        ready = [i for i, state in enumerate(self.state) if state == READY]
+        slots = sum([self._slots(i) for i in ready])
+        mean = sum([self.others[i] for i in ready]) / slots if slots else 0.0
+        for i in ready:
+            self.own_mean[i] += 0.25 * (self.own[i] - self.own_mean[i])
+            if self.now - self.heard[i] > FADE:
+                self.others[i] += 0.1 * (mean * self._slots(i) - self.others[i])
+        self.freed = True
+
+    def _saw_run(self, i: int, run: float, expected: float) -> None:
+        """Count a running time against what was expected; about the last ten count."""
+        self.run_seen[i] = self.run_seen[i] * 0.9 + run
+        self.run_due[i] = self.run_due[i] * 0.9 + expected
+
+    def _judge(self, item: Item, tried: Tried, event: Ended) -> None:
+        """Learn from how a hand-off ended."""
+        i, result = tried.worker, event.result
+        if result == FINISHED:
+            run = self.now - tried.begun if tried.begun else event.took
+            item.category.saw(run)
+            self._saw_run(i, run, item.work)
+            self.trouble[i] *= 0.65
+            self.out_step[i] = 0.0
+        elif result == FULL:
+            self.fulls[i] += 1
+            self._is_full(i)
+        elif result == ERRED or result == TIMED_OUT:
+            # Two errors in a row, or most of the recent ones, make a worker sick.
+            self.trouble[i] = 0.65 * self.trouble[i] + 0.35
+            if self.trouble[i] > 0.5:
+                self._sicken(i)
+        elif result == NOT_CONNECTED or result == CUT:
+            self._sicken(i)
+        if len(item.tried) > 1 and result != TAKEN_BACK and result != NOT_SENT:
+            self.further_success += 0.05 * ((result == FINISHED) - self.further_success)
+
+    def _sicken(self, i: int) -> None:
+        """No turns for a while, twice as long each time until something finishes there; then trials."""
+        if self.now >= self.out_until[i]:
+            self.out_step[i] = min(8000.0, max(500.0, self.out_step[i] * 2.0))
+            self.out_until[i] = self.now + self.out_step[i] * (0.75 + 0.5 * self.chance.part())
+
+    # ---------------------------------------------------------------- the control period
+
+    def _control(self) -> None:
+        """The design's step: shares from reported consumption, cut to 9/10 where load is over the limit."""
+        ready = [i for i in range(len(self.name)) if self.state[i] == READY]
+        self._at(self.now + PERIOD, self._control)
+        self.freed = True
+        if not ready:
+            return
+        if self.can_probe and self.settings.get("reporting.how") == "probe":
+            for i in ready:
+                self.commands.append(Probe(self.name[i]))
+        rates = []
+        for i in ready:
+            # At light load the delivered rate only echoes what was sent: count it for the busy part only.
+            slots = self._slots(i)
+            busy = min(1.0, max(self.busy[i] / slots, 0.25))
+            rates.append(self.rate[i] / busy if self.rate[i] >= 0.0 else -1.0)
+        known = [rate for rate in rates if rate >= 0.0]
+        mean = sum(known) / len(known) if known else 1.0
+        units = sum([self.units[i] for i in ready]) or 1.0
+        wanted = []
+        over = []
+        for i, rate in zip(ready, rates, strict=True):
+            if rate < 0.0:
+                rate = mean
+            # A stale report's rate decays toward the mean; after three periods half of it is gone.
+            age = (self.now - self.heard[i]) / PERIOD
+            rate = mean + (rate - mean) * 0.5 ** (age / 3.0)
+            wanted.append(max(0.0, rate) * (1.0 - min(0.9, self.trouble[i])))
+            over.append(self._over_limit(i, ready))
+        total = sum(wanted) or 1.0
+        for k, i in enumerate(ready):
+            goal = wanted[k] / total
+            if over[k]:
+                goal *= 0.9
+            share = self.share[i] + 0.5 * (goal - self.share[i])
+            even = self.units[i] / units
+            if not over[k]:
+                share += 0.2 * (even - share)
+            share = max(share, 0.25 * even)
+            # Keep the rotation: the next turn moves only as far as the share does.
+            left = (self.turn_at[i] - self.turn_now) * self.share[i] / share
+            self.turn_at[i] = self.turn_now + min(max(left, 0.0), 1.0 / share)
+            self.share[i] = share
+            self.fulls[i] = 0
+
+    def _over_limit(self, i: int, ready: list[int]) -> bool:
+        if self.queue[i] < 0.0:
+            return self.fulls[i] > 0
+        rest = [self.queue[j] for j in ready if j != i and self.queue[j] >= 0.0]
+        # Twice the others' mean, and at least three jobs: below that a queue is chance.
+        return self.queue[i] > max(3.0, 2.0 * sum(rest) / len(rest) if rest else 0.0)
+
+    # ---------------------------------------------------------------- the list of workers
+
+    def _on_list(self, event: ListNews) -> None:
+        if event.how == LIST_ERROR:
+            # The service is crowded or the subscription broke: ask again, later each time, not all at once.
+            self.list_errors += 1
+            delay = min(5000.0, 200.0 * 2.0 ** min(self.list_errors, 6))
+            if self.asked:
+                self._at(self.now + delay * (0.5 + self.chance.part()), self._follow)
+            return
+        if event.how != DISK_LIST:
+            self.list_errors = 0
+        if event.how != CHANGES:
+            named = {entry.worker for entry in event.entries}
+            for worker, i in self.index.items():
+                if worker not in named:
+                    self.state[i] = LEFT
+        for entry in event.entries:
+            self._entry(entry)
+        self.freed = True
+
+    def _follow(self) -> None:
+        self.commands.append(Follow())
+
+    def _entry(self, entry: Entry) -> None:
+        i = self.index.get(entry.worker)
+        if i is None:
+            i = self._new_worker(entry)
+        elif entry.since > self.since[i] or (self.state[i] == LEFT and entry.state == READY):
+            self._reset(i)
+        self.zone_of[i] = entry.zone
+        self.cell_of[i] = entry.cell
+        self.kind_of[i] = entry.kind
+        self.state[i] = entry.state
+        self.units[i] = entry.units if entry.units > 0.0 else 1.0
+        self.since[i] = entry.since
+
+    def _new_worker(self, entry: Entry) -> int:
+        i = len(self.name)
+        self.index[entry.worker] = i
+        self.name.append(entry.worker)
+        for texts in (self.zone_of, self.cell_of, self.kind_of, self.state):
+            texts.append("")
+        for numbers in (
+            self.units,
+            self.since,
+            self.share,
+            self.turn_at,
+            self.rate,
+            self.heard,
+            self.queue,
+            self.fulls,
+            self.own,
+            self.own_mean,
+            self.others,
+            self.busy,
+            self.run_seen,
+            self.run_due,
+            self.start_ms,
+            self.trouble,
+            self.out_until,
+            self.out_step,
+            self.full_until,
+        ):
+            numbers.append(0.0)
+        self.sent_cold.append(deque())
+        self.last_report.append(None)
+        self._reset(i)
+        return i
+
+    def _reset(self, i: int) -> None:
+        """A worker that is new or has started again: nothing is known of it."""
+        ready = sum([state == READY for state in self.state])
+        self.share[i] = 1.0 / max(1, ready)
+        # The rotation starts at random.
+        self.turn_at[i] = self.turn_now + self.chance.part() / self.share[i]
+        self.rate[i] = self.queue[i] = -1.0
+        self.heard[i] = self.now
+        self.others[i] = self.busy[i] = self.own_mean[i] = 0.0
+        # One sample of a second at the expected speed, so that the first running time does not decide alone.
+        self.run_seen[i] = self.run_due[i] = 1000.0
+        self.start_ms[i] = 20.0
+        self.trouble[i] = self.out_until[i] = self.out_step[i] = self.full_until[i] = 0.0
+        self.last_report[i] = None
+        self.sent_cold[i].clear()
+
+
+# The design's starting value.
+PERIOD = 2000.0
+# Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
+FADE = 250.0
+
+HANDLERS = {
+    Alarm: Dispatcher._on_alarm,
+    Arrived: Dispatcher._on_arrived,
+    Began: Dispatcher._on_began,
+    Ended: Dispatcher._on_ended,
+    ListNews: Dispatcher._on_list,
+    Probed: Dispatcher._on_probed,
+    Streaming: Dispatcher._on_streaming,
+    Withdrawn: Dispatcher._on_withdrawn,
+}
--- /dev/null
+++ b/dunepulley/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""The front that speaks the simulator's wire on standard input and output."""
