--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -567,8 +567,7 @@
                 wait = ahead / self._slots(i) * self.mean_work * self._slowness(i)
                 if wait < best_wait:
                     best, best_wait = i, wait
-        late = item.expiry if item.category.late_payoff else item.due
-        if best_wait > late - self.now - item.work * 0.5:
+        if best_wait > item.due - self.now - item.work * 0.5:
             return -1
         if best >= 0:
             self._take_turn(best)
@@ -659,6 +658,8 @@
         elif result == FULL:
             self.fulls[i] += 1
             self._is_full(i)
+            # Turned away: a whole queue stands there, of which no report need tell.
+            self.others[i] = max(self.others[i], 2.0 * self._slots(i))
         elif result == ERRED or result == TIMED_OUT:
             # Two errors in a row, or most of the recent ones, make a worker sick.
             self.trouble[i] = 0.65 * self.trouble[i] + 0.35
