--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -369,11 +369,14 @@
             while item.out:
                 # Begun or not, look again when it ought to have begun.
                 tried = item.tried[-1]
+                if said is TIME and self.now > item.expiry:
+                    yield GIVE_UP, 0
+                    return
                 if said is BEGUN:
                     for number, other in enumerate(item.tried):
                         if not other.result and not other.begun:
                             yield TAKE_BACK, number
-                    said = yield WAIT, item.expiry
+                    said = yield WAIT, NEVER
                 elif said is TIME and self.tells_start and not tried.begun:
                     tried.late = True
                     self._is_full(tried.worker)
@@ -388,7 +391,7 @@
                     said = yield WAIT, self.now + max(30.0, 0.25 * item.work)
                 else:
                     grace = 20.0 + 4.0 * self.start_ms[tried.worker]
-                    said = yield WAIT, (tried.sent + grace if not tried.begun else item.expiry)
+                    said = yield WAIT, (tried.sent + grace if not tried.begun else NEVER)
             # No hand-off is out and none finished.
             if len(item.tried) >= self.most or self.credit < 1.0 or self.now >= item.expiry:
                 yield GIVE_UP, 0
@@ -412,7 +415,9 @@
                 self._at(min(arg, item.expiry), item, item.stamp)
                 return
             elif want is WAIT:
-                self._at(min(arg, item.expiry + 50.0), item, item.stamp)
+                # A time-out cut to the budget is told just after the expiry; without it, answer all the same.
+                overdue = item.expiry + 0.5 * self.settings.get("rules.answerSlackMs", 2.0)
+                self._at(min(arg, overdue), item, item.stamp)
                 return
             elif want is TAKE_BACK:
                 self.commands.append(TakeBack(item.wi, arg))
@@ -622,7 +627,8 @@
             used = max(0.0, self._slots(i) - free) + max(0.0, self.queue[i])
             self.busy[i] = 0.5 * (self.busy[i] + used)
             # The report is some way behind: compare it with what this dispatcher had there lately.
-            self.others[i] = 0.5 * (self.others[i] + max(0.0, used - self.own_mean[i]))
+            # A single look tells little, as work items come and go between two: three tenths of it count.
+            self.others[i] += 0.3 * (used - self.own_mean[i] - self.others[i])
             self.freed = True
         service = report.get("service_ms", 0.0)
         if service > 0.0:
