--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -594,7 +594,7 @@
 
     def _serve_held(self) -> None:
         """Give held work items another look, the best paid for their work first."""
-        self.held.sort(key=lambda item: item.latest)
+        self.held.sort(key=lambda item: (-item.value, item.latest))
         missed = 0
         for item in list(self.held):
             if item.waiting is HOLD:
