--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -351,14 +351,15 @@
 
     def _course(self, item: Item) -> Generator[tuple, Any, None]:
         """A work item from its arrival to its final answer."""
-        patient = True
         while True:
             i = self._in_turn(item)
-            if i < 0 and self.now < item.latest and patient:
+            if i < 0:
+                # No slot is known to be free: a short queue will do, and no answer comes of a long one.
+                slack = item.latest - self.now
+                i = self._least_wait(item, 0.25 * slack if slack > 0.0 else item.due - self.now - 0.5 * item.work)
+            if i < 0 and self.now < item.latest:
                 yield HOLD, item.latest
                 continue
-            if i < 0:
-                i = self._least_wait(item)
             if i < 0:
                 yield GIVE_UP, 0
                 return
@@ -563,8 +564,8 @@
             self._take_turn(best)
         return best
 
-    def _least_wait(self, item: Item) -> int:
-        """Where the wait is expected to be the shortest, if the answer can still pay; else -1."""
+    def _least_wait(self, item: Item, limit: float) -> int:
+        """Where the wait is expected to be the shortest, if it is within the limit; else -1."""
         best, best_wait = -1, NEVER
         for i in range(len(self.name)):
             if self.state[i] == READY and self._able(item, i):
@@ -572,7 +573,7 @@
                 wait = ahead / self._slots(i) * self.mean_work * self._slowness(i)
                 if wait < best_wait:
                     best, best_wait = i, wait
-        if best_wait > item.due - self.now - item.work * 0.5:
+        if best_wait > limit:
             return -1
         if best >= 0:
             self._take_turn(best)
