--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -627,9 +627,6 @@
             self.kind_slots[kind] = max(self.kind_slots.get(kind, 1.0), float(round(free)))
             used = max(0.0, self._slots(i) - free) + max(0.0, self.queue[i])
             self.busy[i] = 0.5 * (self.busy[i] + used)
-            if self.queue[i] < 0.0 and free < 0.5:
-                # No queue is told and no slot is free: as much again may wait as runs.
-                used += self._slots(i)
             # The report is some way behind: compare it with what this dispatcher had there lately.
             # A single look tells little, as work items come and go between two: three tenths of it count.
             self.others[i] += 0.3 * (used - self.own_mean[i] - self.others[i])
