--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -191,6 +191,7 @@
         self.can_take_back = bool(say("policyLimits.cancel", False))
         self.can_probe = bool(say("policyLimits.probing", False))
         self.tells_start = bool(say("familyInfo.tellsStart", False))
+        self.tells_queue = "queue" in listed(say("reporting.fields"))
         self.by_work = say("payoffBy", "request") == "work"
         # Workers, under a dense index.
         self.index: dict[str, int] = {}
@@ -354,9 +355,12 @@
         while True:
             i = self._in_turn(item)
             if i < 0:
-                # No slot is known to be free: a short queue will do, and no answer comes of a long one.
-                slack = item.latest - self.now
-                i = self._least_wait(item, 0.25 * slack if slack > 0.0 else item.due - self.now - 0.5 * item.work)
+                # No slot is known to be free: a short queue will do, and no answer comes of a long one. Where
+                # queues are not reported they can't be told short from long: hold until holding cannot pay.
+                if self.now >= item.latest:
+                    i = self._least_wait(item, item.due - self.now - 0.5 * item.work)
+                elif self.tells_queue:
+                    i = self._least_wait(item, 0.25 * (item.latest - self.now))
             if i < 0 and self.now < item.latest:
                 yield HOLD, item.latest
                 continue
--- a/dunepulley/simhost/wire.py
+++ b/dunepulley/simhost/wire.py
@@ -65,6 +65,8 @@
     for name, text in pairs.items():
         if name.endswith(".name") or name == "zone":
             settings[name] = text
+        elif name == "reporting.fields":
+            settings[name] = tuple(REPORT_NAMES.get(word, word) for word in text.split(","))
         elif name in ("areas", "kinds", "stages"):
             settings[name] = tuple(text.split(",")) if text else ()
         else:
