Expected waits include how long hand-offs took to begin; compare running work where no queue is told

Reports there end at 'no free slot', and this dispatcher's own queued items were subtracted from that, so others' load came out negative. Told from slow workers by running times, which were usual on all machines but four.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -219,6 +219,9 @@
         self.out_until: list[float] = []
         self.out_step: list[float] = []
         self.full_until: list[float] = []
+        self.running: list[float] = []
+        self.running_mean: list[float] = []
+        self.wait_seen: list[float] = []
         self.sent_cold: list[deque] = []
         self.last_report: list[dict[str, float] | None] = []
         self.kind_slots: dict[str, float] = {}
@@ -308,6 +311,8 @@
             i = tried.worker
             # The quickest recent start tells how long a free worker takes; it forgets a twentieth each time.
             self.start_ms[i] = min(self.start_ms[i] * 1.05, wait)
+            self.wait_seen[i] = wait - self.start_ms[i]
+            self.running[i] += item.slots
             if not item.over:
                 self._drive(item, BEGUN)
 
@@ -328,6 +333,8 @@
         item.out -= 1
         i = tried.worker
         self.own[i] -= item.slots
+        if tried.begun:
+            self.running[i] -= item.slots
         self.full_until[i] = 0.0
         self.freed = True
         self._judge(item, tried, event)
@@ -384,6 +391,8 @@
                     said = yield WAIT, NEVER
                 elif said is TIME and self.tells_start and not tried.begun:
                     tried.late = True
+                    waited = self.now - tried.sent
+                    self.wait_seen[tried.worker] = max(self.wait_seen[tried.worker], waited)
                     self._is_full(tried.worker)
                     if self.credit >= 1.0 and len(item.tried) < self.most:
                         j = self._in_turn(item, tried.worker)
@@ -575,6 +584,8 @@
             if self.state[i] == READY and self._able(item, i):
                 ahead = max(0.0, self.own[i] + self.others[i] + item.slots - self._slots(i))
                 wait = ahead / self._slots(i) * self.mean_work * self._slowness(i)
+                # A queue that is not told shows in how long the last hand-offs there took to begin.
+                wait = max(wait, self.wait_seen[i])
                 if wait < best_wait:
                     best, best_wait = i, wait
         if best_wait > limit:
@@ -633,7 +644,9 @@
             self.busy[i] = 0.5 * (self.busy[i] + used)
             # The report is some way behind: compare it with what this dispatcher had there lately.
             # A single look tells little, as work items come and go between two: three tenths of it count.
-            self.others[i] += 0.3 * (used - self.own_mean[i] - self.others[i])
+            # Where no queue is told, only what runs can be compared.
+            ours = self.own_mean[i] if self.queue[i] >= 0.0 or not self.tells_start else self.running_mean[i]
+            self.others[i] += 0.3 * (used - ours - self.others[i])
             self.freed = True
         service = report.get("service_ms", 0.0)
         if service > 0.0:
@@ -648,6 +661,8 @@
         mean = sum([self.others[i] for i in ready]) / slots if slots else 0.0
         for i in ready:
             self.own_mean[i] += 0.25 * (self.own[i] - self.own_mean[i])
+            self.running_mean[i] += 0.25 * (self.running[i] - self.running_mean[i])
+            self.wait_seen[i] *= 0.9
             if self.now - self.heard[i] > FADE:
                 self.others[i] += 0.1 * (mean * self._slots(i) - self.others[i])
         self.freed = True
@@ -804,6 +819,9 @@
             self.out_until,
             self.out_step,
             self.full_until,
+            self.running,
+            self.running_mean,
+            self.wait_seen,
         ):
             numbers.append(0.0)
         self.sent_cold.append(deque())
@@ -819,7 +837,7 @@
         self.turn_at[i] = self.turn_now + self.chance.part() / self.share[i]
         self.rate[i] = self.queue[i] = -1.0
         self.heard[i] = self.now
-        self.others[i] = self.busy[i] = self.own_mean[i] = 0.0
+        self.others[i] = self.busy[i] = self.own_mean[i] = self.running_mean[i] = self.wait_seen[i] = 0.0
         # One sample of a second at the expected speed, so that the first running time does not decide alone.
         self.run_seen[i] = self.run_due[i] = 1000.0
         self.start_ms[i] = 20.0
