--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -360,6 +360,9 @@
     def _course(self, item: Item) -> Generator[tuple, Any, None]:
         """A work item from its arrival to its final answer."""
         while True:
+            if not item.category.late_payoff and self.now > item.due - 0.5 * item.work:
+                yield GIVE_UP, 0  # it can't be in time any more, and late pays nothing
+                return
             i = self._in_turn(item)
             if i < 0:
                 # No slot is known to be free: a short queue will do, and no answer comes of a long one. Where
@@ -393,6 +396,10 @@
                     tried.late = True
                     waited = self.now - tried.sent
                     self.wait_seen[tried.worker] = max(self.wait_seen[tried.worker], waited)
+                    if self.now > item.due - 0.5 * item.work and self.can_take_back and item.out == 1:
+                        # It could only end late now, and keep what stands behind it from ending in time.
+                        yield GIVE_UP, 0
+                        return
                     self._is_full(tried.worker)
                     if self.credit >= 1.0 and len(item.tried) < self.most:
                         j = self._in_turn(item, tried.worker)
