--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -367,10 +367,12 @@
             if i < 0:
                 # No slot is known to be free: a short queue will do, and no answer comes of a long one. Where
                 # queues are not reported they can't be told short from long: hold until holding cannot pay.
+                # The estimate itself is off by what one slot more or less makes.
+                error = 0.25 * self.mean_work
                 if self.now >= item.latest:
-                    i = self._least_wait(item, item.due - self.now - 0.5 * item.work)
+                    i = self._least_wait(item, error + item.due - self.now - 0.5 * item.work)
                 elif self.tells_queue:
-                    i = self._least_wait(item, 0.25 * (item.latest - self.now))
+                    i = self._least_wait(item, error + 0.25 * (item.latest - self.now))
             if i < 0 and self.now < item.latest:
                 yield HOLD, item.latest
                 continue
