--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -398,7 +398,8 @@
                     tried.late = True
                     waited = self.now - tried.sent
                     self.wait_seen[tried.worker] = max(self.wait_seen[tried.worker], waited)
-                    if self.now > item.due - 0.5 * item.work and self.can_take_back and item.out == 1:
+                    late = self.now > item.due - 0.5 * item.work
+                    if late and item.out == 1 and self.can_take_back and self._harmless(item):
                         # It could only end late now, and keep what stands behind it from ending in time.
                         yield GIVE_UP, 0
                         return
@@ -481,15 +482,19 @@
                 return False
         return True
 
-    def _answer(self, item: Item) -> None:
-        """The final answer: deferred where a repeat is harmless, else written off."""
+    def _harmless(self, item: Item) -> bool:
+        """Whether the client may try again without making an effect happen twice."""
         category = item.category
-        harmless = (
+        return (
             category.effect == RERUNNABLE
             or (category.effect == TICKETED and category.group == "all")
             or all([tried.result in NEVER_RAN for tried in item.tried])
         )
-        if harmless:
+
+    def _answer(self, item: Item) -> None:
+        """The final answer: deferred where a repeat is harmless, else written off."""
+        category = item.category
+        if self._harmless(item):
             # Long enough for a slot to come free; clients that heed it don't crowd a full fleet.
             advised = bool(self.settings.get("policyLimits.retryAfter", False))
             longest = self.settings.get("policyLimits.maxRetryAfterMs", 0.0)
