--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -225,6 +225,8 @@
         self.sent_cold: list[deque] = []
         self.last_report: list[dict[str, float] | None] = []
         self.kind_slots: dict[str, float] = {}
+        self.slots: list[float] = []
+        self.cold = say("rules.coldMs", 0.0)
         self.turn_now = 0.0
         self.credit = 5.0
         self.further_success = 1.0
@@ -522,7 +524,7 @@
         item.tried.append(Tried(i, self.now))
         item.out += 1
         self.own[i] += item.slots
-        if self._cold_age(i) < self.settings.get("rules.coldMs", 0.0):
+        if self._cold_age(i) < self.cold:
             self.sent_cold[i].append((self.now, self._load_of(item, i)))
         self.commands.append(HandOff(item.wi, self.name[i], item.expiry - self.now))
 
@@ -542,13 +544,12 @@
         part of what the worker can surely bear at its age.
         """
         age = self._cold_age(i)
-        cold = self.settings.get("rules.coldMs", 0.0)
-        if age >= cold:
+        if age >= self.cold:
             return True
         span = self.settings.get("rules.tipAfterMs", 1000.0)
         least = self.settings.get("rules.coldFrom", 0.1)
-        able = least + (1.0 - least) * max(0.0, age) / cold
-        most = self.settings.get("rules.fallMultiple", 1.0) * able * self._slots(i) * span
+        able = least + (1.0 - least) * max(0.0, age) / self.cold
+        most = self.settings.get("rules.fallMultiple", 1.0) * able * self.slots[i] * span
         budget = most / self.dispatchers
         sent = self.sent_cold[i]
         while sent and sent[0][0] < self.now - span:
@@ -557,10 +558,6 @@
 
     # ---------------------------------------------------------------- picking a worker
 
-    def _slots(self, i: int) -> float:
-        # Not knowing the size means assuming little.
-        return self.kind_slots.get(self.kind_of[i], 1.0)
-
     def _slowness(self, i: int) -> float:
         """How long the worker runs a work item, as a multiple of what was expected of it."""
         return self.run_seen[i] / self.run_due[i]
@@ -576,7 +573,9 @@
             names = listed(self.settings.get("kinds"))
             if kinds < len(names) and names[kinds] != self.kind_of[i]:
                 return False
-        return (not item.tried or self._may_repeat_at(item, i)) and self._cold_room(item, i)
+        if item.tried and not self._may_repeat_at(item, i):
+            return False
+        return self.since[i] <= 0.0 or self._cold_room(item, i)
 
     def _in_turn(self, item: Item, besides: int = -1) -> int:
         """The next worker in turn that has room for the work item, or -1."""
@@ -584,7 +583,7 @@
         for i, at in enumerate(self.turn_at):
             if at >= best_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
                 continue
-            slots = self._slots(i)
+            slots = self.slots[i]
             if slots - self.own[i] - self.others[i] >= min(item.slots, slots) - 0.5 and self._able(item, i):
                 best, best_at = i, at
         if best >= 0:
@@ -593,17 +592,16 @@
 
     def _least_wait(self, item: Item, limit: float) -> int:
         """Where the wait is expected to be the shortest, if it is within the limit; else -1."""
-        best, best_wait = -1, NEVER
-        for i in range(len(self.name)):
-            if self.state[i] == READY and self._able(item, i):
-                ahead = max(0.0, self.own[i] + self.others[i] + item.slots - self._slots(i))
-                wait = ahead / self._slots(i) * self.mean_work * self._slowness(i)
-                # A queue that is not told shows in how long the last hand-offs there took to begin.
-                wait = max(wait, self.wait_seen[i])
-                if wait < best_wait:
-                    best, best_wait = i, wait
-        if best_wait > limit:
-            return -1
+        best, best_wait = -1, limit
+        for i, state in enumerate(self.state):
+            # A queue that is not told shows in how long the last hand-offs there took to begin.
+            if state != READY or self.wait_seen[i] >= best_wait:
+                continue
+            slots = self.slots[i]
+            ahead = self.own[i] + self.others[i] + item.slots - slots
+            wait = max(self.wait_seen[i], ahead / slots * self.mean_work * self.run_seen[i] / self.run_due[i])
+            if wait < best_wait and self._able(item, i):
+                best, best_wait = i, wait
         if best >= 0:
             self._take_turn(best)
         return best
@@ -653,8 +651,13 @@
         self.queue[i] = report.get("queue", -1.0)
         free = report.get("x0")
         if free is not None and 0.0 <= free < 1e4:
-            self.kind_slots[kind] = max(self.kind_slots.get(kind, 1.0), float(round(free)))
-            used = max(0.0, self._slots(i) - free) + max(0.0, self.queue[i])
+            if round(free) > self.kind_slots.get(kind, 1.0):
+                # Workers of a kind are built alike: the most that was ever free is what they have.
+                self.kind_slots[kind] = float(round(free))
+                for j, other in enumerate(self.kind_of):
+                    if other == kind:
+                        self.slots[j] = self.kind_slots[kind]
+            used = max(0.0, self.slots[i] - free) + max(0.0, self.queue[i])
             self.busy[i] = 0.5 * (self.busy[i] + used)
             # The report is some way behind: compare it with what this dispatcher had there lately.
             # A single look tells little, as work items come and go between two: three tenths of it count.
@@ -671,14 +674,14 @@
         """What others have at a worker is believed less as the report ages: it fades to the mean of all."""
         self._at(self.now + FADE, self._fade)
         ready = [i for i, state in enumerate(self.state) if state == READY]
-        slots = sum([self._slots(i) for i in ready])
+        slots = sum([self.slots[i] for i in ready])
         mean = sum([self.others[i] for i in ready]) / slots if slots else 0.0
         for i in ready:
             self.own_mean[i] += 0.25 * (self.own[i] - self.own_mean[i])
             self.running_mean[i] += 0.25 * (self.running[i] - self.running_mean[i])
             self.wait_seen[i] *= 0.9
             if self.now - self.heard[i] > FADE:
-                self.others[i] += 0.1 * (mean * self._slots(i) - self.others[i])
+                self.others[i] += 0.1 * (mean * self.slots[i] - self.others[i])
         self.freed = True
 
     def _saw_run(self, i: int, run: float, expected: float) -> None:
@@ -699,7 +702,7 @@
             self.fulls[i] += 1
             self._is_full(i)
             # Turned away: a whole queue stands there, of which no report need tell.
-            self.others[i] = max(self.others[i], 2.0 * self._slots(i))
+            self.others[i] = max(self.others[i], 2.0 * self.slots[i])
         elif result == ERRED or result == TIMED_OUT:
             # Two errors in a row, or most of the recent ones, make a worker sick.
             self.trouble[i] = 0.65 * self.trouble[i] + 0.35
@@ -731,7 +734,7 @@
         rates = []
         for i in ready:
             # At light load the delivered rate only echoes what was sent: count it for the busy part only.
-            slots = self._slots(i)
+            slots = self.slots[i]
             busy = min(1.0, max(self.busy[i] / slots, 0.25))
             rates.append(self.rate[i] / busy if self.rate[i] >= 0.0 else -1.0)
         known = [rate for rate in rates if rate >= 0.0]
@@ -804,6 +807,8 @@
         self.cell_of[i] = entry.cell
         self.kind_of[i] = entry.kind
         self.state[i] = entry.state
+        # Not knowing the size means assuming little.
+        self.slots[i] = self.kind_slots.get(entry.kind, 1.0)
         self.units[i] = entry.units if entry.units > 0.0 else 1.0
         self.since[i] = entry.since
 
@@ -836,6 +841,7 @@
             self.running,
             self.running_mean,
             self.wait_seen,
+            self.slots,
         ):
             numbers.append(0.0)
         self.sent_cold.append(deque())
