--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -584,9 +584,7 @@
             if at >= best_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
                 continue
             slots = self.slots[i]
-            # What was heard long ago can't prove a worker full: the doubt grows to a slot over four seconds.
-            doubt = 0.5 + min(1.0, (self.now - self.heard[i]) * 0.00025)
-            if slots - self.own[i] - self.others[i] >= min(item.slots, slots) - doubt and self._able(item, i):
+            if slots - self.own[i] - self.others[i] >= min(item.slots, slots) - 0.5 and self._able(item, i):
                 best, best_at = i, at
         if best >= 0:
             self._take_turn(best)
