--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -578,14 +578,23 @@
         return self.since[i] <= 0.0 or self._cold_room(item, i)
 
     def _in_turn(self, item: Item, besides: int = -1) -> int:
-        """The next worker in turn that has room for the work item, or -1."""
-        best, best_at = -1, NEVER
+        """The next worker in turn that has room for the work item, or -1.
+
+        One that is only just believed to have room, by half a slot of doubt, has its turn if none clearly has.
+        """
+        sure, sure_at, best, best_at = -1, NEVER, -1, NEVER
         for i, at in enumerate(self.turn_at):
-            if at >= best_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
+            if at >= sure_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
                 continue
             slots = self.slots[i]
-            if slots - self.own[i] - self.others[i] >= min(item.slots, slots) - 0.5 and self._able(item, i):
+            room = slots - self.own[i] - self.others[i] - (item.slots if item.slots < slots else slots)
+            if room >= 0.0:
+                if self._able(item, i):
+                    sure, sure_at = i, at
+            elif room >= -0.5 and at < best_at and self._able(item, i):
                 best, best_at = i, at
+        if sure >= 0:
+            best = sure
         if best >= 0:
             self._take_turn(best)
         return best
