--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -671,11 +671,10 @@
             used = max(0.0, self.slots[i] - free) + max(0.0, self.queue[i])
             self.busy[i] = 0.5 * (self.busy[i] + used)
             # The report is some way behind: compare it with what this dispatcher had there lately.
+            # A single look tells little, as work items come and go between two: three tenths of it count.
             # Where no queue is told, only what runs can be compared.
             ours = self.own_mean[i] if self.queue[i] >= 0.0 or not self.tells_start else self.running_mean[i]
-            # A look about a second old tells as much as running times outlast it.
-            tells = self.mean_work / (self.mean_work + 1000.0)
-            self.others[i] += tells * (used - ours - self.others[i])
+            self.others[i] += 0.3 * (used - ours - self.others[i])
             self.freed = True
         service = report.get("service_ms", 0.0)
         if service > 0.0:
