Even starting shares, the age of a try from its budget, and no idle looks; tests for each

Found by the new tables of tests on the module alone: - the first list gave shares of 1, 1/2, 1/3 ... as each worker was added; now all new workers start at the mean; - where starts are not told, an unbegun hand-off was looked at again at once, forever; - a client that gives each try only part of the expiry had all its tries taken for late repeats.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -92,7 +92,8 @@
         stretches = listed(settings.get("familyInfo.classStretch"))
         kinds = listed(settings.get("familyInfo.classKind"))
         self.due = said("dueTimeMs", 1000.0)
-        self.expiry = said("expiryMs", 10000.0)
+        self.expiry = said("expiryMs", 8.0 * self.due)
+        self.fresh = 0.0  # the longest budget seen
         self.stretch = said("aimStretch", stretches[number] if number < len(stretches) else 0.0)
         self.payoff = said("payoff", 1.0)
         self.late_payoff = said("overduePayoff", 0.0)
@@ -285,8 +286,10 @@
         item.work = event.hint or category.mean_run()
         self.mean_work += 0.02 * (item.work * item.slots - self.mean_work)
         item.expiry = self.now + event.budget
-        # A budget shorter than the category's is what earlier tries of the client have left of it.
-        arrived = item.expiry - max(event.budget, category.expiry)
+        # A budget under the longest seen is what earlier tries of the client have left of it. The expiry in
+        # the settings won't do: clients may give each try only a part of it.
+        category.fresh = max(category.fresh, event.budget)
+        arrived = item.expiry - category.fresh
         item.due = min(arrived + category.due + category.stretch * item.work, item.expiry)
         item.latest = item.due - item.work
         item.value = category.payoff if self.by_work else category.payoff / item.work
@@ -418,8 +421,10 @@
                     # Look again after a quarter of a run: a slot is then likely to have come free somewhere.
                     said = yield WAIT, self.now + max(30.0, 0.25 * item.work)
                 else:
+                    # Only where starts are told: a look that sees nothing would come again at once, forever.
+                    look = not tried.begun and self.tells_start
                     grace = 20.0 + 4.0 * self.start_ms[tried.worker]
-                    said = yield WAIT, (tried.sent + grace if not tried.begun else NEVER)
+                    said = yield WAIT, max(self.now + 1.0, tried.sent + grace) if look else NEVER
             # No hand-off is out and none finished.
             if len(item.tried) >= self.most or self.credit < 1.0 or self.now >= item.expiry:
                 yield GIVE_UP, 0
@@ -582,7 +587,7 @@
     def _in_turn(self, item: Item, besides: int = -1) -> int:
         """The next worker in turn that has room for the work item, or -1.
 
-        One that is only just believed to have room, by half a slot of doubt, has its turn if none clearly has.
+        One that has room only by half a slot of doubt has its turn if none clearly has.
         """
         sure, sure_at, best, best_at = -1, NEVER, -1, NEVER
         for i, at in enumerate(self.turn_at):
@@ -801,19 +806,26 @@
             for worker, i in self.index.items():
                 if worker not in named:
                     self.state[i] = LEFT
-        for entry in event.entries:
-            self._entry(entry)
+        new = [i for i in [self._entry(entry) for entry in event.entries] if i >= 0]
+        ready = max(1, sum([state == READY for state in self.state]))
+        for i in new:
+            # An unheard worker starts at the mean weight, and somewhere at random in the rotation.
+            self.share[i] = 1.0 / ready
+            self.turn_at[i] = self.turn_now + self.chance.part() * ready
         self.freed = True
 
     def _follow(self) -> None:
         self.commands.append(Follow())
 
-    def _entry(self, entry: Entry) -> None:
+    def _entry(self, entry: Entry) -> int:
+        """Take in one entry; the worker's index if it is new or has started again, else -1."""
         i = self.index.get(entry.worker)
+        known = i is not None
         if i is None:
             i = self._new_worker(entry)
         elif entry.since > self.since[i] or (self.state[i] == LEFT and entry.state == READY):
             self._reset(i)
+            known = False
         self.zone_of[i] = entry.zone
         self.cell_of[i] = entry.cell
         self.kind_of[i] = entry.kind
@@ -822,6 +834,7 @@
         self.slots[i] = self.kind_slots.get(entry.kind, 1.0)
         self.units[i] = entry.units if entry.units > 0.0 else 1.0
         self.since[i] = entry.since
+        return -1 if known else i
 
     def _new_worker(self, entry: Entry) -> int:
         i = len(self.name)
@@ -862,10 +875,6 @@
 
     def _reset(self, i: int) -> None:
         """A worker that is new or has started again: nothing is known of it."""
-        ready = sum([state == READY for state in self.state])
-        self.share[i] = 1.0 / max(1, ready)
-        # The rotation starts at random.
-        self.turn_at[i] = self.turn_now + self.chance.part() / self.share[i]
         self.rate[i] = self.queue[i] = -1.0
         self.heard[i] = self.now
         self.others[i] = self.busy[i] = self.own_mean[i] = self.running_mean[i] = self.wait_seen[i] = 0.0
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,227 @@
+"""Shares, turns, cold budget, list handling and the course of a work item, on the module alone."""
+
+import pytest
+from helpers import LEFT, Rig, entry, of
+
+from dunepulley.brain import PERIOD, Chance, Dispatcher
+from dunepulley.interface import (
+    CHANGES,
+    CUT,
+    DISK_LIST,
+    ERRED,
+    FINISHED,
+    FULL,
+    FULL_LIST,
+    LIST_ERROR,
+    NOT_CONNECTED,
+    TAKEN_BACK,
+    Alarm,
+    Arrived,
+    Began,
+    Defer,
+    Ended,
+    Follow,
+    HandOff,
+    ListNews,
+    Probe,
+    TakeBack,
+    WriteOff,
+)
+
+
+def report(rate, free=4.0, queue=0.0):
+    return {"rate": rate, "x0": free, "queue": queue}
+
+
+def heard(rig, reports):
+    """Let one item finish at each worker, bringing its report, then let control periods pass."""
+    for number, figures in enumerate(reports):
+        rig.brain._heard_of(f"w{number}", figures)
+    rig.feed(after=PERIOD)
+    return rig.brain.share
+
+
+@pytest.mark.parametrize(
+    ("reports", "order"),
+    [
+        ([report(9.0, 0.0), report(3.0, 0.0)], [0, 1]),  # shares follow the reported rate
+        ([report(3.0, 0.0), report(9.0, 0.0)], [1, 0]),
+        ([report(5.0, 0.0, 0.0), report(5.0, 0.0, 30.0)], [0, 1]),  # over the limit: 9/10
+        ([{**report(9.0, 0.0), "errors": 9.0}, report(3.0, 0.0)], [1, 0]),  # errors are no consumption
+    ],
+)
+def test_shares_follow_reported_consumption(reports, order):
+    shares = heard(Rig(workers=2), reports)
+    assert shares[order[0]] > shares[order[1]]
+    assert sum(shares) == pytest.approx(1.0, abs=0.1)
+
+
+@pytest.mark.parametrize(
+    "figures", [{"rate": 0.0}, {"rate": -5.0}, {"rate": 1e30}, {"x0": -3.0}, {"queue": 1e30}, {}]
+)
+def test_an_absurd_report_leaves_every_worker_its_floor(figures):
+    rig = Rig(workers=4)
+    for _ in range(5):
+        shares = heard(rig, [figures, report(5.0), report(5.0), report(5.0)])
+    assert min(shares) >= 0.25 / 4 * 0.99 and max(shares) < 0.5
+
+
+@pytest.mark.parametrize("workers", [1, 3, 8])
+def test_turns_are_evenly_spread(workers):
+    rig = Rig(workers=workers)
+    chosen = []
+    for number in range(workers * 5):
+        first = of(HandOff, rig.feed(Arrived(f"a{number}", "look", 5000.0), after=30.0))[0]
+        rig.feed(Ended(f"a{number}", 0, FINISHED, first.worker, 5.0, True, report(5.0)), after=5.0)
+        chosen.append(first.worker)
+    for start in range(0, len(chosen), workers):
+        assert len(set(chosen[start : start + workers])) == workers
+
+
+@pytest.mark.parametrize(
+    ("result", "tries"),
+    [(NOT_CONNECTED, 1), (CUT, 1), (ERRED, 2), (FULL, 1)],
+)
+def test_a_troubled_worker_gets_no_turns_for_a_while(result, tries):
+    rig = Rig(workers=1)
+    for number in range(tries):
+        first = of(HandOff, rig.feed(Arrived(f"a{number}", "pay", 5000.0)))[0]
+        rig.feed(Ended(f"a{number}", 0, result, first.worker))
+    # Guards against flooding a broken worker: the next item waits, then one trial goes there.
+    assert not of(HandOff, rig.feed(Arrived("b", "look", 5000.0, hint=100.0)))
+    later = [of(HandOff, rig.feed(Alarm(rig.brain.token), after=50.0)) for _ in range(40)]
+    assert any(later) or rig.answer["b"] == Defer.__name__
+
+
+@pytest.mark.parametrize(("age", "most"), [(0.0, 0), (4000.0, 1), (19000.0, 4), (21000.0, 9)])
+def test_a_cold_worker_gets_its_part_of_the_budget(age, most):
+    rig = Rig(workers=0, now=50000.0)
+    rig.feed(ListNews(FULL_LIST, (entry(0, since=50000.0 - age),)))
+    sent = 0
+    for number in range(9):
+        # Two dispatchers, one slot, four times the capacity over a second: 400 ms at first, 2 s when warm.
+        sent += len(of(HandOff, rig.feed(Arrived(f"a{number}", "look", 5000.0, hint=450.0))))
+        rig.brain.own[0] = 0.0
+    assert sent <= most and bool(sent) == bool(most)
+
+
+@pytest.mark.parametrize(
+    ("news", "ready"),
+    [
+        (ListNews(CHANGES, (entry(0, LEFT),)), {"w1", "w2"}),
+        (ListNews(FULL_LIST, (entry(1),)), {"w1"}),  # absence from a full list is removal
+        (ListNews(DISK_LIST, (entry(1), entry(5))), {"w1", "w5"}),
+        (ListNews(LIST_ERROR), {"w0", "w1", "w2"}),  # keep the old list
+        (ListNews(CHANGES, (entry(0, since=900.0),)), {"w0", "w1", "w2"}),  # an id that started again
+        (ListNews(FULL_LIST), set()),
+    ],
+)
+def test_the_list(news, ready):
+    rig = Rig(workers=3)
+    rig.feed(news)
+    brain = rig.brain
+    assert {brain.name[i] for i, state in enumerate(brain.state) if state == "ready"} == ready
+    if not ready:
+        # Guards against losing items while the list is empty: they wait, then are answered.
+        rig.feed(Arrived("a", "look", 700.0))
+        for _ in range(20):
+            rig.feed(Alarm(brain.token), after=50.0)
+        assert rig.answer["a"] == Defer.__name__
+
+
+def test_a_list_that_must_be_asked_is_followed_and_asked_again():
+    rig = Rig(workers=0, discovery="asked")
+    # Guards against the first call being lost: drains were never heard of.
+    assert of(Follow, rig.feed(ListNews(DISK_LIST, (entry(0),))))
+    rig.feed(ListNews(LIST_ERROR))
+    assert any(of(Follow, rig.feed(Alarm(rig.brain.token), after=100.0)) for _ in range(60))
+
+
+@pytest.mark.parametrize(
+    ("settings", "kind"),
+    [
+        ({"policyLimits__secondCopies": True}, HandOff),
+        ({"policyLimits__secondCopies": False}, TakeBack),
+        ({"policyLimits__secondCopies": False, "policyLimits__cancel": False}, None),
+        ({"familyInfo__tellsStart": False}, None),
+    ],
+)
+def test_an_unbegun_hand_off_is_moved_as_the_settings_allow(settings, kind):
+    rig = Rig(workers=3, **settings)
+    rig.feed(Arrived("a", "look", 5000.0, hint=200.0))
+    moved = [command for _ in range(9) for command in rig.feed(Alarm(rig.brain.token), after=50.0)]
+    assert kind is None or of(kind, moved)
+    if kind is None:
+        assert not of(HandOff, moved)
+
+
+def test_one_dispatcher_of_two_copies_keeps_the_one_that_begins():
+    rig = Rig(workers=3)
+    rig.feed(Arrived("a", "look", 5000.0, hint=200.0))
+    for _ in range(9):
+        rig.feed(Alarm(rig.brain.token), after=50.0)
+    assert TakeBack("a", 0) in rig.feed(Began("a", 1))
+    assert not of(HandOff, rig.feed(Ended("a", 0, TAKEN_BACK, rig.sent["a"][0][0])))
+    rig.feed(Ended("a", 1, FINISHED, rig.sent["a"][1][0], over=True))
+    for ho, (worker, _, result) in enumerate(rig.sent["a"]):
+        rig.feed(*([] if result else [Ended("a", ho, TAKEN_BACK, worker, over=True)]))
+    assert not rig.brain.items
+
+
+@pytest.mark.parametrize(
+    "settings",
+    [
+        {},
+        {"reporting.how": "probe"},
+        {"policyLimits.mostHandOffs": 1.0, "categories.count": 1.0, "categories.0.effect": "strange"},
+        {"categories.count": 1.0, "categories.0.effect": "ticketed", "categories.0.keyScope": "planet"},
+    ],
+)
+def test_absent_and_unknown_settings_have_sane_defaults(settings):
+    brain = Dispatcher(1, settings | {"something": "unknown"}, 0.0)
+    commands = brain.handle(0.0, [ListNews(FULL_LIST, (entry(0), entry(1))), Arrived("a", "0", 900.0)])
+    first = of(HandOff, commands)[0]
+    after = brain.handle(10.0, [Ended("a", 0, ERRED, first.worker)])
+    # What is not known to be harmless is never repeated, and a probe is never sent unless allowed.
+    assert of(WriteOff, after) and not of(Probe, commands)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_odd_but_legal_events_keep_the_rules(seed):
+    """A seeded run of scripted events; the oracle in the helper checks every command."""
+    chance = Chance(seed)
+    copies = seed % 2 == 0
+    rig = Rig(workers=6, seed=seed, policyLimits__secondCopies=copies, categories__1__keyScope="all")
+    results = [FINISHED, FINISHED, FINISHED, ERRED, FULL, CUT, NOT_CONNECTED]
+    open_now: dict[tuple[str, int], str] = {}
+    for step in range(500):
+        events: list[object] = []
+        pick = chance.part()
+        if pick < 0.4:
+            category = ("look", "store", "pay")[int(chance.part() * 3)]
+            budget = (3.0, 800.0, 5000.0)[int(chance.part() * 3)]
+            events.append(Arrived(f"a{step}", category, budget, 1.0 + int(chance.part() * 3)))
+        elif pick < 0.9 and open_now:
+            wi, ho = sorted(open_now)[int(chance.part() * len(open_now))]
+            result = results[int(chance.part() * len(results))]
+            over = result == FINISHED or wi in rig.answer
+            figures = report(chance.part() * 1e4 - 1.0, chance.part() * 9.0 - 1.0, chance.part() * 40.0)
+            events.append(Ended(wi, ho, result, open_now.pop((wi, ho)), 9.0, over, figures))
+        else:
+            number = int(chance.part() * 8)
+            state = ("ready", "leaving", "left")[int(chance.part() * 3)]
+            since = rig.now if chance.part() < 0.5 else 0.0
+            events.append(ListNews(CHANGES, (entry(number, state, since),)))
+        long = chance.part() < 0.02
+        late = [Ended(wi, ho, "timed out", worker) for (wi, ho), worker in open_now.items()] if long else []
+        for event in [*late, *events]:
+            for command in of(HandOff, rig.feed(event, after=9000.0 if long else 20.0 * chance.part())):
+                open_now[command.wi, len(rig.sent[command.wi]) - 1] = command.worker
+        if long:
+            open_now = {key: worker for key, worker in open_now.items() if not rig.sent[key[0]][key[1]][2]}
+    for (wi, ho), worker in sorted(open_now.items()):
+        rig.feed(Ended(wi, ho, CUT, worker, over=wi in rig.answer), after=1.0)
+    for _ in range(3):
+        rig.feed(after=20000.0)
+    assert set(rig.arrived) == set(rig.answer), "every item has its one answer"
+    assert not rig.brain.items and not rig.brain.held
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,104 @@
+"""The simulator's wire: lines in, lines out, and plain words for what cannot be read."""
+
+import io
+
+import pytest
+
+from dunepulley import interface as face
+from dunepulley.simhost import wire
+from dunepulley.simhost.host import serve
+
+START = (
+    "turn momentUs=1000000\ntarget_instance dispatcherId=3\n"
+    "power_on nonce64=5 categories.count=1 categories.0.name=x categories.0.effect=read_like odd=1,2\n"
+    "roster_change how=disk epoch=1 members=1\n"
+    "item worker=10.0.0.1:80 az=a familyType=k bay=0 state=active units=1 colour=red\nend\n"
+)
+
+
+def talk(text):
+    sink = io.StringIO()
+    serve(io.StringIO(text), sink)
+    return sink.getvalue()
+
+
+@pytest.mark.parametrize(
+    ("line", "event"),
+    [
+        (
+            "job_in corr=a cls=x timeBudgetUs=240000 width=2 expectedUs=12500 new=1",
+            face.Arrived("a", "x", 240.0, 2.0, "", 12.5),
+        ),
+        ("update_of corr=a worker=w kind=1 try=2", face.Began("a", 2)),
+        ("fired token=9223372036854775807", face.Alarm(9223372036854775807)),
+        ("withdrawn corr=a", face.Withdrawn("a")),
+        ("streaming corr=a try=0 worker=w rttUs=1", face.Streaming("a", 0)),
+        (
+            "ended corr=a last=1 try=0 result=saturated rttUs=1500 worker=w healthInfo=throughput:2,x0:1,o:z",
+            face.Ended("a", 0, face.FULL, "w", 1.5, True, {"rate": 2.0, "x0": 1.0}),
+        ),
+        ("checked result=completed worker=w rttUs=1400", face.Probed("w", face.FINISHED, 1.4)),
+        ("memo neighbour=2 octets=68", None),
+    ],
+)
+def test_events(line, event):
+    name, *parts = line.split(" ")
+    assert wire.READERS[name](wire.fields_of(parts)) == event
+
+
+@pytest.mark.parametrize(
+    ("command", "line"),
+    [
+        (face.HandOff("a", "w", 80.0), "call_out corr=a worker=w timeoutUs=80000"),
+        (face.TakeBack("a", 1), "revoke corr=a try=1"),
+        (face.Defer("a", 250.5), "push_back corr=a notBeforeForUs=250500"),
+        (face.WriteOff("a"), "abort corr=a"),
+        (face.Probe("w"), "sound_out worker=w"),
+        (face.Follow(), "follow enable=1"),
+        (face.Note("two\nlines"), "write_log reasonText=two lines"),
+    ],
+)
+def test_commands(command, line):
+    assert wire.WRITERS[type(command)](command) == line
+
+
+@pytest.mark.parametrize(
+    ("name", "text", "key", "value"),
+    [
+        ("rules.coldUs", "24000000", "rules.coldMs", 24000.0),
+        ("policyLimits.cpuUsPerS", "8000", "policyLimits.cpuUsPerS", 8000.0),
+        ("categories.0.effect", "idempotency_key", "categories.0.effect", face.TICKETED),
+        ("categories.0.name", "12", "categories.0.name", "12"),
+        ("familyInfo.classStretch", "2.0,1.75", "familyInfo.classStretch", (2.0, 1.75)),
+        ("policyLimits.cancel", "false", "policyLimits.cancel", False),
+        ("reporting.fields", "throughput,backlog", "reporting.fields", ("rate", "queue")),
+    ],
+)
+def test_settings(name, text, key, value):
+    assert wire.settings_of({name: text}) == {key: value}
+
+
+def test_a_batch_and_its_reply():
+    job = "turn momentUs=1002000\ntarget_instance dispatcherId=3\n"
+    job += "job_in corr=a cls=x timeBudgetUs=500000\nend\n"
+    reply = talk("turn momentUs=1\nend\n" + START + job)
+    assert reply.startswith("finished\n")
+    assert "for dispatcherId=3\ncall_out corr=a worker=10.0.0.1:80 timeoutUs=500000\n" in reply
+    assert reply.endswith("finished\n") and reply.count("finished") == 3
+
+
+@pytest.mark.parametrize(
+    ("text", "word"),
+    [
+        ("turn momentUs=1\nnonsense a=1\nend\n", "not powered on"),
+        (START + "turn momentUs=2000000\ntarget_instance dispatcherId=3\nnonsense a=1\nend\n", "nonsense"),
+        (START + "turn momentUs=2000000\ntarget_instance dispatcherId=4\nfired token=1\nend\n", "instance 4"),
+        (START + "turn momentUs=2000000\ntarget_instance dispatcherId=3\nfired token=x\nend\n", "fired"),
+        (START + "turn momentUs=2000000\ntarget_instance dispatcherId=3\njob_in corr=a\nend\n", "job_in"),
+        (START.replace("members=1", "members=2"), "roster_change"),
+        ("turn momentUs=1\n", "inside a batch"),
+    ],
+)
+def test_what_cannot_be_read_ends_with_a_plain_line(text, word):
+    with pytest.raises(wire.WireError, match=word):
+        talk(text)
