--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -589,7 +589,8 @@
 
         One that has room only by half a slot of doubt has its turn if none clearly has.
         """
-        sure, sure_at, best, best_at = -1, NEVER, -1, NEVER
+        sure, sure_at, far, far_at, best, best_at = -1, NEVER, -1, NEVER, -1, NEVER
+        near = self.settings.get("prices.crossZone", 0.0) > 0.0
         for i, at in enumerate(self.turn_at):
             if at >= sure_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
                 continue
@@ -597,11 +598,14 @@
             room = slots - self.own[i] - self.others[i] - (item.slots if item.slots < slots else slots)
             if room >= 0.0:
                 if self._able(item, i):
-                    sure, sure_at = i, at
+                    if not near or self.zone_of[i] == self.zone:
+                        sure, sure_at = i, at
+                    elif at < far_at:
+                        far, far_at = i, at
             elif room >= -0.5 and at < best_at and self._able(item, i):
                 best, best_at = i, at
-        if sure >= 0:
-            best = sure
+        if sure >= 0 or far >= 0:
+            best = sure if sure >= 0 else far
         if best >= 0:
             self._take_turn(best)
         return best
