--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -590,9 +590,8 @@
         One that has room only by half a slot of doubt has its turn if none clearly has.
         """
         sure, sure_at, far, far_at, best, best_at = -1, NEVER, -1, NEVER, -1, NEVER
-        # The dearer a crossing, the less room the own zone must have to go first: at 0.01, about what a wrong
-        # guess costs, a whole slot to spare.
-        near = 0.01 / max(self.settings.get("prices.crossZone", 0.0), 1e-9)
+        # Own zone first unsettles the turns, so only where a crossing costs a point in 100 or more.
+        near = self.settings.get("prices.crossZone", 0.0) >= 0.01
         for i, at in enumerate(self.turn_at):
             if at >= sure_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
                 continue
@@ -600,7 +599,7 @@
             room = slots - self.own[i] - self.others[i] - (item.slots if item.slots < slots else slots)
             if room >= 0.0:
                 if self._able(item, i):
-                    if room >= near and self.zone_of[i] == self.zone:
+                    if not near or self.zone_of[i] == self.zone:
                         sure, sure_at = i, at
                     elif at < far_at:
                         far, far_at = i, at
