--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -290,8 +290,8 @@
         # the settings won't do: clients may give each try only a part of it.
         category.fresh = max(category.fresh, event.budget)
         arrived = item.expiry - category.fresh
-        # Without a hint most items are far shorter than the mean, as running times have long tails: three tenths of it.
-        likely = event.hint or 0.3 * item.work
+        # Without a hint most items are far shorter than the mean, as running times have long tails: half of it.
+        likely = event.hint or 0.5 * item.work
         item.due = min(arrived + category.due + category.stretch * likely, item.expiry)
         item.latest = item.due - likely
         item.value = category.payoff if self.by_work else category.payoff / item.work
