--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -294,8 +294,7 @@
         likely = event.hint or 0.5 * item.work
         item.due = min(arrived + category.due + category.stretch * likely, item.expiry)
         item.latest = item.due - likely
-        # A short item delays the rest least: payoff for the work, but not in full proportion.
-        item.value = (category.payoff * (item.work if self.by_work else 1.0)) / item.work**1.5
+        item.value = category.payoff if self.by_work else category.payoff / item.work
         self.items[event.wi] = item
         item.course = self._course(item)
         self._drive(item, None)
