--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -148,7 +148,7 @@
         "course",
         "waiting",
         "stamp",
-        "held_since",
+        "excess",
     )
 
     def __init__(self, wi: str, category: Category) -> None:
@@ -193,6 +193,12 @@
         self.can_probe = bool(say("policyLimits.probing", False))
         self.tells_start = bool(say("familyInfo.tellsStart", False))
         self.tells_queue = "queue" in listed(say("reporting.fields"))
+        # Each work item that comes in earns every tenant its share of one; what it sends beyond is excess.
+        self.shares = {
+            say(f"parties.{number}.name", str(number)): say(f"parties.{number}.share", 0.0)
+            for number in range(int(say("parties.count", 0)))
+        }
+        self.earned = dict.fromkeys(self.shares, 5.0)
         self.by_work = say("payoffBy", "request") == "work"
         # Workers, under a dense index.
         self.index: dict[str, int] = {}
@@ -290,15 +296,31 @@
         # the settings won't do: clients may give each try only a part of it.
         category.fresh = max(category.fresh, event.budget)
         arrived = item.expiry - category.fresh
-        # Without a hint most items are far shorter than the mean, as running times have long tails: half of it.
+        # Without a hint take half the mean: running times have long tails, so most are far shorter.
         likely = event.hint or 0.5 * item.work
         item.due = min(arrived + category.due + category.stretch * likely, item.expiry)
         item.latest = item.due - likely
         item.value = category.payoff if self.by_work else category.payoff / item.work
+        item.excess = self._is_excess(event.tenant)
+        if item.excess:
+            item.value *= self.settings.get("overagePayoff", 1.0)
         self.items[event.wi] = item
         item.course = self._course(item)
         self._drive(item, None)
 
+    def _is_excess(self, tenant: str) -> bool:
+        """Whether a tenant's work item goes beyond its share of what has come in of late."""
+        earned = self.earned
+        if tenant not in earned:
+            return False
+        for name, share in self.shares.items():
+            # Up to five items may be saved up: below that a run of one tenant is chance.
+            earned[name] = min(5.0, earned[name] + share)
+        excess = earned[tenant] < 1.0
+        if not excess:
+            earned[tenant] -= 1.0
+        return excess
+
     def _on_withdrawn(self, event: Withdrawn) -> None:
         item = self.items.get(event.wi)
         if item is not None:
@@ -378,7 +400,7 @@
                 error = 0.25 * self.mean_work
                 if self.now >= item.latest:
                     i = self._least_wait(item, error + item.due - self.now - 0.5 * item.work)
-                elif self.tells_queue:
+                elif self.tells_queue and not item.excess:
                     i = self._least_wait(item, error + 0.25 * (item.latest - self.now))
             if i < 0 and self.now < item.latest:
                 yield HOLD, item.latest
