--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -450,7 +450,10 @@
                     grace = 20.0 + 4.0 * self.start_ms[tried.worker]
                     said = yield WAIT, max(self.now + 1.0, tried.sent + grace) if look else NEVER
             # No hand-off is out and none finished.
-            if len(item.tried) >= self.most or self.credit < 1.0 or self.now >= item.expiry:
+            # What no worker may be given again is answered at once, not held.
+            ready = [j for j, state in enumerate(self.state) if state == READY]
+            barred = not any([self._may_repeat_at(item, j) for j in ready])
+            if len(item.tried) >= self.most or self.credit < 1.0 or self.now >= item.expiry or barred:
                 yield GIVE_UP, 0
                 return
 
