--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -240,7 +240,7 @@
         self.arrived = 0
         self.list_errors = 0
         self.list_pending = False
-        self.probes_due = 0.0
+        self.probes = 0
         self.service_mean = 0.0
         self.mean_work = 500.0
         # Start somewhere in the period, so that dispatchers started together don't steer in step.
@@ -777,8 +777,13 @@
         if not ready:
             return
         if self.can_probe and self.settings.get("reporting.how") == "probe":
-            for i in ready:
-                self.commands.append(Probe(self.name[i]))
+            # The paper's tolerated overhead: as many probes an item as cost a point in 100, at most two. A
+            # dispatcher with little traffic waits a few periods between two rounds.
+            price = self.settings.get("prices.probe", 0.0)
+            tolerated = min(2.0, 0.01 / price) if price > 0.0 else 2.0
+            if self.arrived * tolerated >= self.probes:
+                self.probes += len(ready)
+                self.commands.extend([Probe(self.name[i]) for i in ready])
         rates = []
         for i in ready:
             # At light load the delivered rate only echoes what was sent: count it for the busy part only.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -155,6 +155,16 @@
         assert not of(HandOff, moved)
 
 
+@pytest.mark.parametrize(("price", "items", "rounds"), [(0.02, 0, 1), (0.02, 12, 2), (0.0, 12, 5)])
+def test_probes_stay_within_the_tolerated_overhead(price, items, rounds):
+    probing = {"reporting__how": "probe", "policyLimits__probing": True, "prices__probe": price}
+    rig = Rig(workers=4, **probing)
+    for number in range(items):
+        rig.feed(Arrived(f"a{number}", "look", 1.0))
+    probes = [of(Probe, rig.feed(after=PERIOD)) for _ in range(5)]
+    assert sum(map(len, probes)) == 4 * rounds
+
+
 def test_one_dispatcher_of_two_copies_keeps_the_one_that_begins():
     rig = Rig(workers=3)
     rig.feed(Arrived("a", "look", 5000.0, hint=200.0))
