--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -149,7 +149,6 @@
         "waiting",
         "stamp",
         "excess",
-        "hinted",
     )
 
     def __init__(self, wi: str, category: Category) -> None:
@@ -302,7 +301,6 @@
         item.due = min(arrived + category.due + category.stretch * likely, item.expiry)
         item.latest = item.due - likely
         item.value = category.payoff if self.by_work else category.payoff / item.work
-        item.hinted = event.hint > 0.0
         item.excess = self._is_excess(event.tenant)
         if item.excess:
             item.value *= self.settings.get("overagePayoff", 1.0)
@@ -424,12 +422,7 @@
                     for number, other in enumerate(item.tried):
                         if not other.result and not other.begun:
                             yield TAKE_BACK, number
-                    # Twice as long as it was to take, when it began: the worker may hardly move.
-                    said = yield WAIT, self.now + 2.0 * item.work if self.copies and item.hinted else NEVER
-                elif said is TIME and tried.begun and item.out == 1 and self.credit >= 1.0 and self.copies:
-                    j = self._in_turn(item, tried.worker)
-                    in_time = self.now + item.work < item.due and len(item.tried) < self.most
-                    said = yield (HAND_OFF, j) if j >= 0 and in_time else (WAIT, NEVER)
+                    said = yield WAIT, NEVER
                 elif said is TIME and self.tells_start and not tried.begun:
                     tried.late = True
                     waited = self.now - tried.sent
