--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -397,7 +397,7 @@
                 # No slot is known to be free: a short queue will do, and no answer comes of a long one. Where
                 # queues are not reported they can't be told short from long: hold until holding cannot pay.
                 # The estimate itself is off by what one slot more or less makes.
-                error = 0.1 * self.mean_work
+                error = 0.25 * self.mean_work
                 if self.now >= item.latest:
                     i = self._least_wait(item, error + item.due - self.now - 0.5 * item.work)
                 elif self.tells_queue and not item.excess:
