--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -239,7 +239,6 @@
         self.further_success = 1.0
         self.arrived = 0
         self.list_errors = 0
-        self.list_pending = False
         self.probes = 0
         self.service_mean = 0.0
         self.mean_work = 500.0
