--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -69,3 +69,27 @@
     assert not of(HandOff, rig.feed(Ended("a", 0, result, first.worker, over=True), after=10.0))
     assert not rig.feed(Withdrawn("a"), Ended("a", 0, result, first.worker))
     assert not rig.brain.items
+
+
+@pytest.mark.parametrize(
+    ("after", "again"), [(100.0, True), (2600.0, True), (2900.0, False), (4000.0, False)]
+)
+def test_a_ticketed_item_is_repeated_only_within_its_window(after, again):
+    rig = Rig(workers=8, categories__1__dueTimeMs=4900.0, familyInfo__tellsStart=False)
+    first = of(HandOff, rig.feed(Arrived("a", "store", 5000.0, hint=100.0)))[0]
+    commands = rig.feed(Ended("a", 0, ERRED, first.worker), after=after)
+    assert bool(of(HandOff, commands)) == again and bool(of(WriteOff, commands)) != again
+
+
+@pytest.mark.parametrize(
+    ("settings", "open_gate"),
+    [
+        ({"policyLimits__secondCopies": True}, True),
+        ({"policyLimits__secondCopies": False}, False),
+        ({"policyLimits__mostHandOffs": 1.0}, False),
+    ],
+)
+def test_the_gate_lets_a_second_copy_through_only_where_allowed(settings, open_gate):
+    rig = Rig(workers=4, **settings)
+    rig.feed(Arrived("a", "look", 5000.0))
+    assert rig.brain._gate(rig.brain.items["a"], 0) == open_gate
