Clean-up: dead fields out, one test for too late, one list of ready workers

Two fields of a hand-off were written and never read; the test for work that can only end late stood twice; the list of ready workers was built in four places.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -119,15 +119,13 @@
 class Tried:
     """One hand-off of a work item."""
 
-    __slots__ = ("worker", "sent", "begun", "done", "result", "late")
+    __slots__ = ("worker", "sent", "begun", "result")
 
     def __init__(self, worker: int, sent: float) -> None:
         self.worker = worker
         self.sent = sent
         self.begun = 0.0
-        self.done = 0.0
         self.result = ""
-        self.late = False
 
 
 class Item:
@@ -332,7 +330,6 @@
         tried = item.tried[event.ho]
         if tried.result:
             return
-        tried.done = event.done
         if not tried.begun:
             tried.begun = self.now
             wait = self.now - tried.sent
@@ -388,7 +385,7 @@
     def _course(self, item: Item) -> Generator[tuple, Any, None]:
         """A work item from its arrival to its final answer."""
         while True:
-            if not item.category.late_payoff and self.now > item.due - 0.5 * item.work:
+            if not item.category.late_payoff and self._too_late(item):
                 yield GIVE_UP, 0  # it can't be in time any more, and late pays nothing
                 return
             i = self._in_turn(item)
@@ -423,11 +420,10 @@
                             yield TAKE_BACK, number
                     said = yield WAIT, NEVER
                 elif said is TIME and self.tells_start and not tried.begun:
-                    tried.late = True
                     waited = self.now - tried.sent
                     self.wait_seen[tried.worker] = max(self.wait_seen[tried.worker], waited)
-                    late = self.now > item.due - 0.5 * item.work
-                    if late and item.out == 1 and self.can_take_back and self._harmless(item):
+                    alone = item.out == 1 and self.can_take_back
+                    if alone and self._too_late(item) and self._harmless(item):
                         # It could only end late now, and keep what stands behind it from ending in time.
                         yield GIVE_UP, 0
                         return
@@ -450,12 +446,15 @@
                     said = yield WAIT, max(self.now + 1.0, tried.sent + grace) if look else NEVER
             # No hand-off is out and none finished.
             # What no worker may be given again is answered at once, not held.
-            ready = [j for j, state in enumerate(self.state) if state == READY]
-            barred = not any([self._may_repeat_at(item, j) for j in ready])
+            barred = not any([self._may_repeat_at(item, j) for j in self._ready()])
             if len(item.tried) >= self.most or self.credit < 1.0 or self.now >= item.expiry or barred:
                 yield GIVE_UP, 0
                 return
 
+    def _too_late(self, item: Item) -> bool:
+        """Whether it can't be in time any more, even at a worker twice as fast as expected."""
+        return self.now > item.due - 0.5 * item.work
+
     def _drive(self, item: Item, said: Any) -> None:
         """Resume a work item and carry out what it wants, until it waits for news."""
         item.stamp += 1
@@ -591,6 +590,9 @@
 
     # ---------------------------------------------------------------- picking a worker
 
+    def _ready(self) -> list[int]:
+        return [i for i, state in enumerate(self.state) if state == READY]
+
     def _slowness(self, i: int) -> float:
         """How long the worker runs a work item, as a multiple of what was expected of it."""
         return self.run_seen[i] / self.run_due[i]
@@ -631,8 +633,10 @@
                         far, far_at = i, at
             elif room >= -0.5 and at < best_at and self._able(item, i):
                 best, best_at = i, at
-        if sure >= 0 or far >= 0:
-            best = sure if sure >= 0 else far
+        if sure >= 0:
+            best = sure
+        elif far >= 0:
+            best = far
         if best >= 0:
             self._take_turn(best)
         return best
@@ -646,7 +650,7 @@
                 continue
             slots = self.slots[i]
             ahead = self.own[i] + self.others[i] + item.slots - slots
-            wait = max(self.wait_seen[i], ahead / slots * self.mean_work * self.run_seen[i] / self.run_due[i])
+            wait = max(self.wait_seen[i], ahead / slots * self.mean_work * self._slowness(i))
             if wait < best_wait and self._able(item, i):
                 best, best_wait = i, wait
         if best >= 0:
@@ -720,7 +724,7 @@
     def _fade(self) -> None:
         """What others have at a worker is believed less as the report ages: it fades to the mean of all."""
         self._at(self.now + FADE, self._fade)
-        ready = [i for i, state in enumerate(self.state) if state == READY]
+        ready = self._ready()
         slots = sum([self.slots[i] for i in ready])
         mean = sum([self.others[i] for i in ready]) / slots if slots else 0.0
         for i in ready:
@@ -770,7 +774,7 @@
 
     def _control(self) -> None:
         """The design's step: shares from reported consumption, cut to 9/10 where load is over the limit."""
-        ready = [i for i in range(len(self.name)) if self.state[i] == READY]
+        ready = self._ready()
         self._at(self.now + PERIOD, self._control)
         self.freed = True
         if not ready:
@@ -843,7 +847,7 @@
                 if worker not in named:
                     self.state[i] = LEFT
         new = [i for i in [self._entry(entry) for entry in event.entries] if i >= 0]
-        ready = max(1, sum([state == READY for state in self.state]))
+        ready = max(1, len(self._ready()))
         for i in new:
             # An unheard worker starts at the mean weight, and somewhere at random in the rotation.
             self.share[i] = 1.0 / ready
