--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -620,14 +620,11 @@
         sure, sure_at, far, far_at, best, best_at = -1, NEVER, -1, NEVER, -1, NEVER
         # Own zone first unsettles the turns, so only where a crossing costs a point in 100 or more.
         near = self.settings.get("prices.crossZone", 0.0) >= 0.01
-        stale = self.now - THIN
         for i, at in enumerate(self.turn_at):
             if at >= sure_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
                 continue
             slots = self.slots[i]
-            room = slots - self.own[i] - (item.slots if item.slots < slots else slots)
-            if self.heard[i] > stale:
-                room -= self.others[i]
+            room = slots - self.own[i] - self.others[i] - (item.slots if item.slots < slots else slots)
             if room >= 0.0:
                 if self._able(item, i):
                     if not near or self.zone_of[i] == self.zone:
@@ -931,7 +928,6 @@
 
 # The design's starting value.
 PERIOD = 2000.0
-THIN = 3000.0
 # Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
 FADE = 250.0
 
