--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -65,7 +65,7 @@
 NEVER = float("inf")
 
 # What the course of a work item can want ...
-HAND_OFF, HOLD, WAIT, TAKE_BACK, GIVE_UP, ASK = "hand off", "hold", "wait", "take back", "give up", "ask"
+HAND_OFF, HOLD, WAIT, TAKE_BACK, GIVE_UP = "hand off", "hold", "wait", "take back", "give up"
 # ... and be told, beside how a hand-off ended.
 BEGUN, TIME, TRY, BARRED = "begun", "time", "try", "barred"
 
@@ -228,7 +228,6 @@
         self.running_mean: list[float] = []
         self.wait_seen: list[float] = []
         self.sent_cold: list[deque] = []
-        self.asked_of: list[int] = []
         self.last_report: list[dict[str, float] | None] = []
         self.kind_slots: dict[str, float] = {}
         self.slots: list[float] = []
@@ -239,8 +238,6 @@
         self.arrived = 0
         self.list_errors = 0
         self.probes = 0
-        self.asks = 20.0
-        self.sounds = self.can_probe and say("reporting.how") == "answers"
         self.service_mean = 0.0
         self.mean_work = 500.0
         # Start somewhere in the period, so that dispatchers started together don't steer in step.
@@ -263,7 +260,7 @@
                 what()
             elif what.stamp == stamp and not what.over:
                 self._drive(what, TIME)
-        if self.held and self.freed and not self.sounds:
+        if self.held and self.freed:
             self._serve_held()
         self.freed = False
         if self.deadlines and self.deadlines[0][0] < self.alarm_at:
@@ -284,7 +281,6 @@
         self.arrived += 1
         # Half a further hand-off is earned by each work item, less where the recent ones did not help.
         self.credit = min(20.0, self.credit + 0.05 + 0.45 * self.further_success)
-        self.asks = min(30.0, self.asks + 5.0)
         category = self.categories.get(event.category)
         if category is None:
             category = self.categories[event.category] = Category(len(self.categories), {})
@@ -383,26 +379,6 @@
             self._heard_of(event.worker, event.report)
         if event.result == NOT_CONNECTED:
             self._sicken(i)
-        if self.asked_of[i]:
-            self.asked_of[i] -= 1
-            if event.result == FINISHED and self.own[i] < self.slots[i]:
-                self.held.sort(key=lambda item: (-item.value, item.latest))
-                for item in self.held:
-                    if all([tried.worker != i for tried in item.tried]) and self._able(item, i):
-                        self._drive(item, i)
-                        break
-
-    def _ask(self, item: Item, most: int) -> None:
-        """Probe the next workers in turn: the first to answer has a slot free."""
-        stale = sorted([(at, i) for i, at in enumerate(self.turn_at) if not self.asked_of[i]])
-        for _, i in stale:
-            if self.own[i] < self.slots[i] and self.now >= self.full_until[i] and self._able(item, i):
-                if self.asks < 1.0 or not most:
-                    return
-                self.asks -= 1.0
-                most -= 1
-                self.asked_of[i] += 1
-                self.commands.append(Probe(self.name[i]))
 
     # ---------------------------------------------------------------- the course of a work item
 
@@ -412,20 +388,7 @@
             if not item.category.late_payoff and self._too_late(item):
                 yield GIVE_UP, 0  # it can't be in time any more, and late pays nothing
                 return
-            if self.sounds:
-                i = -1
-                said = None
-                while i < 0 and not self._too_late(item):
-                    if not isinstance(said, int):
-                        yield ASK, 2
-                    said = yield HOLD, min(item.due - 0.5 * item.work, self.now + 20.0)
-                    i = said if isinstance(said, int) else -1
-                if i < 0:
-                    yield GIVE_UP, 0
-                    return
-                self._take_turn(i)
-            else:
-                i = self._in_turn(item)
+            i = self._in_turn(item)
             if i < 0:
                 # No slot is known to be free: a short queue will do, and no answer comes of a long one. Where
                 # queues are not reported they can't be told short from long: hold until holding cannot pay.
@@ -451,11 +414,6 @@
                 if said is TIME and self.now > item.expiry:
                     yield GIVE_UP, 0
                     return
-                if isinstance(said, int) and self.credit >= 1.0 and len(item.tried) < self.most:
-                    if self.copies:
-                        self._take_turn(said)
-                        said = yield HAND_OFF, said
-                        continue
                 if said is BEGUN:
                     for number, other in enumerate(item.tried):
                         if not other.result and not other.begun:
@@ -472,10 +430,6 @@
                     self._is_full(tried.worker)
                     # It may begin in a moment yet: move it once three tenths of its slack are spent.
                     spent = waited >= 0.3 * (item.latest - tried.sent)
-                    if spent and self.credit >= 1.0 and len(item.tried) < self.most and self.sounds:
-                        yield ASK, 2
-                        said = yield HOLD, self.now + 20.0
-                        continue
                     if spent and self.credit >= 1.0 and len(item.tried) < self.most:
                         j = self._in_turn(item, tried.worker)
                         if j >= 0 and self.copies:
@@ -523,8 +477,6 @@
                 overdue = item.expiry + 0.5 * self.settings.get("rules.answerSlackMs", 2.0)
                 self._at(min(arg, overdue), item, item.stamp)
                 return
-            elif want is ASK:
-                self._ask(item, arg)
             elif want is TAKE_BACK:
                 self.commands.append(TakeBack(item.wi, arg))
             else:
@@ -954,7 +906,6 @@
             self.running_mean,
             self.wait_seen,
             self.slots,
-            self.asked_of,
         ):
             numbers.append(0.0)
         self.sent_cold.append(deque())
