--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -429,7 +429,7 @@
                         return
                     self._is_full(tried.worker)
                     # It may begin in a moment yet: move it once three tenths of its slack are spent.
-                    spent = False
+                    spent = waited >= 0.3 * (item.latest - tried.sent)
                     if spent and self.credit >= 1.0 and len(item.tried) < self.most:
                         j = self._in_turn(item, tried.worker)
                         if j >= 0 and self.copies:
