--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -119,10 +119,11 @@
 class Tried:
     """One hand-off of a work item."""
 
-    __slots__ = ("worker", "sent", "begun", "result")
+    __slots__ = ("worker", "path", "sent", "begun", "result")
 
-    def __init__(self, worker: int, sent: float) -> None:
+    def __init__(self, worker: int, path: tuple[str, bool], sent: float) -> None:
         self.worker = worker
+        self.path = path
         self.sent = sent
         self.begun = 0.0
         self.result = ""
@@ -219,7 +220,9 @@
         self.busy: list[float] = []
         self.run_seen: list[float] = []
         self.run_due: list[float] = []
-        self.start_ms: list[float] = []
+        self.linked: list[float] = []
+        # The quickest start to each zone, over a connection at hand and over a new one.
+        self.start_ms: dict[tuple[str, bool], float] = {}
         self.trouble: list[float] = []
         self.out_until: list[float] = []
         self.out_step: list[float] = []
@@ -233,8 +236,8 @@
         self.slots: list[float] = []
         self.cold = say("rules.coldMs", 0.0)
         self.turn_now = 0.0
-        self.credit = 5.0
-        self.further_success = 1.0
+        self.credit = 1.0
+        self.further_success = 0.5
         self.arrived = 0
         self.list_errors = 0
         self.probes = 0
@@ -335,8 +338,9 @@
             wait = self.now - tried.sent
             i = tried.worker
             # The quickest recent start tells how long a free worker takes; it forgets a twentieth each time.
-            self.start_ms[i] = min(self.start_ms[i] * 1.05, wait)
-            self.wait_seen[i] = wait - self.start_ms[i]
+            path = tried.path
+            self.start_ms[path] = min(self.start_ms.get(path, wait) * 1.05, wait)
+            self.wait_seen[i] = wait - self.start_ms[path]
             self.running[i] += item.slots
             if not item.over:
                 self._drive(item, BEGUN)
@@ -361,10 +365,11 @@
         if tried.begun:
             self.running[i] -= item.slots
         self.full_until[i] = 0.0
+        self.linked[i] = self.now + self.settings.get("policyLimits.connIdleMs", 0.0)
         self.freed = True
         self._judge(item, tried, event)
         if event.over and not item.over:
-            self._close(item)
+            self._close(item, self.now <= item.due)
         if item.over:
             if item.out == 0:
                 self.items.pop(event.wi, None)
@@ -429,7 +434,7 @@
                         return
                     self._is_full(tried.worker)
                     # It may begin in a moment yet: move it once three tenths of its slack are spent.
-                    spent = waited >= 0.3 * (item.latest - tried.sent)
+                    spent = waited >= 0.3 * (item.latest - tried.sent) and waited >= self._grace(tried)
                     if spent and self.credit >= 1.0 and len(item.tried) < self.most:
                         j = self._in_turn(item, tried.worker)
                         if j >= 0 and self.copies:
@@ -442,7 +447,7 @@
                 else:
                     # Only where starts are told: a look that sees nothing would come again at once, forever.
                     look = not tried.begun and self.tells_start
-                    grace = 20.0 + 4.0 * self.start_ms[tried.worker]
+                    grace = self._grace(tried)
                     said = yield WAIT, max(self.now + 1.0, tried.sent + grace) if look else NEVER
             # No hand-off is out and none finished.
             # What no worker may be given again is answered at once, not held.
@@ -451,6 +456,12 @@
                 yield GIVE_UP, 0
                 return
 
+    def _grace(self, tried: Tried) -> float:
+        """How long a hand-off to a free worker may take to begin, the connection and the way included."""
+        # Not seen yet: as long as the settings let a connection take.
+        usual = self.start_ms.get(tried.path, self.settings.get("policyLimits.connectTimeoutMs", 100.0))
+        return 20.0 + 1.5 * usual
+
     def _too_late(self, item: Item) -> bool:
         """Whether it can't be in time any more, even at a worker twice as fast as expected."""
         return self.now > item.due - 0.5 * item.work
@@ -538,8 +549,10 @@
             self.commands.append(WriteOff(item.wi))
         self._close(item)
 
-    def _close(self, item: Item) -> None:
+    def _close(self, item: Item, in_time: bool = False) -> None:
         """Nothing more is owed: call off what is still out and forget the rest."""
+        if len(item.tried) > 1:
+            self.further_success += 0.1 * (in_time - self.further_success)
         self._forget_hold(item)
         item.over = True
         item.course.close()
@@ -553,7 +566,10 @@
     def _hand_off(self, item: Item, i: int) -> None:
         if item.tried:
             self.credit -= 1.0
-        item.tried.append(Tried(i, self.now))
+        # One that ended there within the idle time has left its connection.
+        path = (self.zone_of[i], self.now < self.linked[i])
+        self.linked[i] = 0.0
+        item.tried.append(Tried(i, path, self.now))
         item.out += 1
         self.own[i] += item.slots
         if self._cold_age(i) < self.cold:
@@ -761,8 +777,6 @@
                 self._sicken(i)
         elif result == NOT_CONNECTED or result == CUT:
             self._sicken(i)
-        if len(item.tried) > 1 and result != TAKEN_BACK and result != NOT_SENT:
-            self.further_success += 0.05 * ((result == FINISHED) - self.further_success)
 
     def _sicken(self, i: int) -> None:
         """No turns for a while, twice as long each time until something finishes there; then trials."""
@@ -897,7 +911,7 @@
             self.busy,
             self.run_seen,
             self.run_due,
-            self.start_ms,
+            self.linked,
             self.trouble,
             self.out_until,
             self.out_step,
@@ -920,7 +934,7 @@
         self.others[i] = self.busy[i] = self.own_mean[i] = self.running_mean[i] = self.wait_seen[i] = 0.0
         # One sample of a second at the expected speed, so that the first running time does not decide alone.
         self.run_seen[i] = self.run_due[i] = 1000.0
-        self.start_ms[i] = 20.0
+        self.linked[i] = 0.0
         self.trouble[i] = self.out_until[i] = self.out_step[i] = self.full_until[i] = 0.0
         self.last_report[i] = None
         self.sent_cold[i].clear()
