--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -24,6 +24,7 @@
 from collections import deque
 from collections.abc import Generator
 from heapq import heappop, heappush
+from math import log
 from typing import Any
 
 from dunepulley.interface import (
@@ -165,6 +166,17 @@
     return () if value is None else value if isinstance(value, tuple) else (value,)
 
 
+def rank_of(me: str, worker: str, units: float) -> float:
+    """Rendezvous hashing, weighted by size: the lower, the higher this dispatcher ranks the worker."""
+    mixed = 0xCBF29CE484222325
+    for byte in f"{me}/{worker}".encode():
+        mixed = (mixed ^ byte) * 0x100000001B3 & 0xFFFFFFFFFFFFFFFF
+    # FNV-1a leaves the high bits poor: two rounds of the generator mix them.
+    chance = Chance(mixed)
+    chance.part()
+    return -log(1.0 - chance.part()) / (units if units > 0.0 else 1.0)
+
+
 class Dispatcher:
     """Decides for one dispatcher, from its own events alone."""
 
@@ -236,6 +248,12 @@
         self.slots: list[float] = []
         self.cold = say("rules.coldMs", 0.0)
         self.turn_now = 0.0
+        # The workers in use, and the others, each in order of rank.
+        self.used: list[int] = []
+        self.spare: list[int] = []
+        self.rank: list[float] = []
+        self.want_used = 8.0
+        self.seen_arrived = 0
         self.credit = 1.0
         self.further_success = 0.5
         self.arrived = 0
@@ -629,6 +647,11 @@
         return self.since[i] <= 0.0 or self._cold_room(item, i)
 
     def _in_turn(self, item: Item, besides: int = -1) -> int:
+        """The next worker in turn with room among those in use, else among the others; or -1."""
+        i = self._next_of(self.used, item, besides)
+        return i if i >= 0 or not self.spare else self._next_of(self.spare, item, besides)
+
+    def _next_of(self, among: list[int], item: Item, besides: int) -> int:
         """The next worker in turn that has room for the work item, or -1.
 
         One that has room only by half a slot of doubt has its turn if none clearly has.
@@ -636,7 +659,8 @@
         sure, sure_at, far, far_at, best, best_at = -1, NEVER, -1, NEVER, -1, NEVER
         # Own zone first unsettles the turns, so only where a crossing costs a point in 100 or more.
         near = self.settings.get("prices.crossZone", 0.0) >= 0.01
-        for i, at in enumerate(self.turn_at):
+        for i in among:
+            at = self.turn_at[i]
             if at >= sure_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
                 continue
             slots = self.slots[i]
@@ -676,12 +700,23 @@
     def _take_turn(self, i: int) -> None:
         """Count a turn; workers passed over lose theirs and stay evenly spread."""
         at = self.turn_at[i]
-        for j, other in enumerate(self.turn_at):
+        for j in self.used:
+            other = self.turn_at[j]
             if other < at:
                 self.turn_at[j] = other + 1.0 / max(self.share[j], 1e-6)
         self.turn_at[i] = at + 1.0 / max(self.share[i], 1e-6)
         self.turn_now = max(self.turn_now, at)
 
+    def _choose_used(self) -> None:
+        """The workers in use: as many of the highest rank as this dispatcher's traffic keeps connected."""
+        order = sorted([(self.rank[i], i) for i in self._ready()])
+        most = max(8, int(self.want_used))
+        # A sick worker does not count: the next in rank stands in.
+        well = [i for _, i in order if self.now >= self.out_until[i]]
+        self.used = sorted(well[:most])
+        used = set(self.used)
+        self.spare = [i for _, i in order if i not in used]
+
     def _is_full(self, i: int) -> None:
         """A hand-off that does not begin proves that no slot is free there, whatever the report says."""
         # Until something ends there, or for a fifth of a second: a busy worker frees a slot about that often.
@@ -791,6 +826,10 @@
         ready = self._ready()
         self._at(self.now + PERIOD, self._control)
         self.freed = True
+        came = (self.arrived - self.seen_arrived) * self.settings.get("policyLimits.connIdleMs", 1e9) / PERIOD
+        self.seen_arrived = self.arrived
+        self.want_used = max(came, self.want_used + 0.1 * (came - self.want_used))
+        self._choose_used()
         if not ready:
             return
         if self.can_probe and self.settings.get("reporting.how") == "probe":
@@ -866,6 +905,7 @@
             # An unheard worker starts at the mean weight, and somewhere at random in the rotation.
             self.share[i] = 1.0 / ready
             self.turn_at[i] = self.turn_now + self.chance.part() * ready
+        self._choose_used()
         self.freed = True
 
     def _follow(self) -> None:
@@ -923,6 +963,7 @@
         ):
             numbers.append(0.0)
         self.sent_cold.append(deque())
+        self.rank.append(rank_of(str(self.settings.get("me", "")), entry.worker, entry.units))
         self.last_report.append(None)
         self._reset(i)
         return i
