--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -243,6 +243,7 @@
         self.running_mean: list[float] = []
         self.wait_seen: list[float] = []
         self.sent_cold: list[deque] = []
+        self.asked_of: list[int] = []
         self.last_report: list[dict[str, float] | None] = []
         self.kind_slots: dict[str, float] = {}
         self.slots: list[float] = []
@@ -259,6 +260,8 @@
         self.arrived = 0
         self.list_errors = 0
         self.probes = 0
+        self.asks = 10.0
+        self.sounds = self.can_probe and say("reporting.how") == "answers"
         self.service_mean = 0.0
         self.mean_work = 500.0
         # Start somewhere in the period, so that dispatchers started together don't steer in step.
@@ -302,6 +305,7 @@
         self.arrived += 1
         # Half a further hand-off is earned by each work item, less where the recent ones did not help.
         self.credit = min(20.0, self.credit + 0.05 + 0.45 * self.further_success)
+        self.asks = min(20.0, self.asks + 3.0)
         category = self.categories.get(event.category)
         if category is None:
             category = self.categories[event.category] = Category(len(self.categories), {})
@@ -402,6 +406,27 @@
             self._heard_of(event.worker, event.report)
         if event.result == NOT_CONNECTED:
             self._sicken(i)
+        self.asked_of[i] = 0
+        self.freed = True
+
+    def _ask(self, item: Item) -> list[int]:
+        """Probe the next two in turn of which nothing was heard of late, and return them."""
+        if not self.sounds:
+            return []
+        asked = []
+        for _, i in sorted([(self.turn_at[i], i) for i in self.used]):
+            if self.now < self.full_until[i] or self.own[i] >= self.slots[i] or not self._able(item, i):
+                continue
+            if not self.asked_of[i] and self.now - self.heard[i] > 500.0:
+                if self.asks < 1.0:
+                    return asked
+                self.asks -= 1.0
+                self.asked_of[i] = 1
+                self.commands.append(Probe(self.name[i]))
+            asked.append(i)
+            if len(asked) == 2:
+                break
+        return asked
 
     # ---------------------------------------------------------------- the course of a work item
 
@@ -411,7 +436,17 @@
             if not item.category.late_payoff and self._too_late(item):
                 yield GIVE_UP, 0  # it can't be in time any more, and late pays nothing
                 return
-            i = self._in_turn(item)
+            i = -1
+            for _ in range(2):
+                asked = self._ask(item)
+                until = self.now + 0.2 * max(0.0, item.latest - self.now)
+                while self.now < until and any([self.asked_of[j] for j in asked]):
+                    yield HOLD, until
+                i = self._next_of(asked, item, -1)
+                if i >= 0:
+                    break
+            if i < 0:
+                i = self._in_turn(item)
             if i < 0:
                 # No slot is known to be free: a short queue will do, and no answer comes of a long one. Where
                 # queues are not reported they can't be told short from long: hold until holding cannot pay.
@@ -745,6 +780,7 @@
             return  # a report is refreshed now and then: the same figures again say nothing new
         self.last_report[i] = report
         kind = self.kind_of[i]
+        weight = max(0.3, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 1000.0))
         self.heard[i] = self.now
         rate = report.get("rate")
         if rate is not None and 0.0 <= rate < 1e6:
@@ -765,7 +801,7 @@
             # A single look tells little, as work items come and go between two: three tenths of it count.
             # Where no queue is told, only what runs can be compared.
             ours = self.own_mean[i] if self.queue[i] >= 0.0 or not self.tells_start else self.running_mean[i]
-            self.others[i] += 0.3 * (used - ours - self.others[i])
+            self.others[i] += weight * (used - ours - self.others[i])
             self.freed = True
         service = report.get("service_ms", 0.0)
         if service > 0.0:
@@ -960,6 +996,7 @@
             self.running_mean,
             self.wait_seen,
             self.slots,
+            self.asked_of,
         ):
             numbers.append(0.0)
         self.sent_cold.append(deque())
