--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -488,7 +488,7 @@
                     self._is_full(tried.worker)
                     # It may begin in a moment yet: move it once three tenths of its slack are spent.
                     spent = waited >= 0.3 * (item.latest - tried.sent) and waited >= self._grace(tried)
-                    if spent and self.credit >= 1.0 and len(item.tried) < self.most:
+                    if spent and self.credit >= self._cost(item) and len(item.tried) < self.most:
                         j = self._in_turn(item, tried.worker)
                         if j >= 0 and self.copies:
                             said = yield HAND_OFF, j
@@ -505,10 +505,14 @@
             # No hand-off is out and none finished.
             # What no worker may be given again is answered at once, not held.
             barred = not any([self._may_repeat_at(item, j) for j in self._ready()])
-            if len(item.tried) >= self.most or self.credit < 1.0 or self.now >= item.expiry or barred:
+            if len(item.tried) >= self.most or self.credit < self._cost(item) or self.now >= item.expiry or barred:
                 yield GIVE_UP, 0
                 return
 
+    def _cost(self, item: Item) -> float:
+        """What a further hand-off takes off the credit: its work, against that of a mean work item."""
+        return item.work * item.slots / self.mean_work
+
     def _grace(self, tried: Tried) -> float:
         """How long a hand-off to a free worker may take to begin, the connection and the way included."""
         # Not seen yet: as long as the settings let a connection take.
@@ -618,7 +622,7 @@
 
     def _hand_off(self, item: Item, i: int) -> None:
         if item.tried:
-            self.credit -= 1.0
+            self.credit -= self._cost(item)
         # One that ended there within the idle time has left its connection.
         path = (self.zone_of[i], self.now < self.linked[i])
         self.linked[i] = 0.0
