--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -410,7 +410,7 @@
         self.freed = True
 
     def _ask(self, item: Item) -> list[int]:
-        """Probe the next in turn of which nothing was heard of late, one more than its slots; return them."""
+        """Probe the next two in turn of which nothing was heard of late, and return them."""
         if not self.sounds:
             return []
         asked = []
@@ -424,7 +424,7 @@
                 self.asked_of[i] = 1
                 self.commands.append(Probe(self.name[i]))
             asked.append(i)
-            if len(asked) > item.slots:
+            if len(asked) == 2:
                 break
         return asked
 
@@ -513,13 +513,6 @@
         """What a further hand-off takes off the credit: its work, against that of a mean work item."""
         return item.work * item.slots / self.mean_work
 
-    def _path_to(self, i: int) -> tuple[str, bool]:
-        """The zone of a worker, and whether a connection to it is at hand."""
-        return self.zone_of[i], self.now < self.linked[i]
-
-    def _start_at(self, i: int) -> float:
-        return self.start_ms.get(self._path_to(i), 0.0)
-
     def _grace(self, tried: Tried) -> float:
         """How long a hand-off to a free worker may take to begin, the connection and the way included."""
         # Not seen yet: as long as the settings let a connection take.
@@ -631,7 +624,7 @@
         if item.tried:
             self.credit -= self._cost(item)
         # One that ended there within the idle time has left its connection.
-        path = self._path_to(i)
+        path = (self.zone_of[i], self.now < self.linked[i])
         self.linked[i] = 0.0
         item.tried.append(Tried(i, path, self.now))
         item.out += 1
@@ -702,8 +695,6 @@
 
         One that has room only by half a slot of doubt has its turn if none clearly has.
         """
-        # What cannot begin there within three tenths of its slack is better off elsewhere.
-        soon = 0.3 * (item.latest - self.now)
         sure, sure_at, far, far_at, best, best_at = -1, NEVER, -1, NEVER, -1, NEVER
         # Own zone first unsettles the turns, so only where a crossing costs a point in 100 or more.
         near = self.settings.get("prices.crossZone", 0.0) >= 0.01
@@ -715,7 +706,7 @@
             room = slots - self.own[i] - self.others[i] - (item.slots if item.slots < slots else slots)
             if room >= 0.0:
                 if self._able(item, i):
-                    if self.zone_of[i] == self.zone or not (near or self._start_at(i) > soon):
+                    if not near or self.zone_of[i] == self.zone:
                         sure, sure_at = i, at
                     elif at < far_at:
                         far, far_at = i, at
