--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -24,7 +24,6 @@
 from collections import deque
 from collections.abc import Generator
 from heapq import heappop, heappush
-from math import log
 from typing import Any
 
 from dunepulley.interface import (
@@ -166,15 +165,15 @@
     return () if value is None else value if isinstance(value, tuple) else (value,)
 
 
-def rank_of(me: str, worker: str, units: float) -> float:
-    """Rendezvous hashing, weighted by size: the lower, the higher this dispatcher ranks the worker."""
+def rank_of(me: str, worker: str) -> float:
+    """Rendezvous hashing: the lower, the higher this dispatcher ranks the worker."""
     mixed = 0xCBF29CE484222325
     for byte in f"{me}/{worker}".encode():
         mixed = (mixed ^ byte) * 0x100000001B3 & 0xFFFFFFFFFFFFFFFF
     # FNV-1a leaves the high bits poor: two rounds of the generator mix them.
     chance = Chance(mixed)
     chance.part()
-    return -log(1.0 - chance.part()) / (units if units > 0.0 else 1.0)
+    return chance.part()
 
 
 class Dispatcher:
@@ -1004,7 +1003,7 @@
         ):
             numbers.append(0.0)
         self.sent_cold.append(deque())
-        self.rank.append(rank_of(str(self.settings.get("me", "")), entry.worker, entry.units))
+        self.rank.append(rank_of(str(self.settings.get("me", "")), entry.worker))
         self.last_report.append(None)
         self._reset(i)
         return i
