--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -303,7 +303,7 @@
     def _on_arrived(self, event: Arrived) -> None:
         self.arrived += 1
         # Half a further hand-off is earned by each work item, less where the recent ones did not help.
-        self.credit = min(20.0, self.credit + 0.05 + 0.45 * self.further_success)
+        self.credit = min(5.0, self.credit + 0.02 + 0.13 * self.further_success)
         self.asks = min(20.0, self.asks + 3.0)
         category = self.categories.get(event.category)
         if category is None:
