--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -255,7 +255,7 @@
         self.want_used = 8.0
         self.seen_arrived = 0
         self.credit = 1.0
-        self.success = 0.7
+        self.further_success = 0.5
         self.arrived = 0
         self.list_errors = 0
         self.probes = 0
@@ -303,7 +303,7 @@
     def _on_arrived(self, event: Arrived) -> None:
         self.arrived += 1
         # Half a further hand-off is earned by each work item, less where the recent ones did not help.
-        self.credit = min(5.0, self.credit + 0.02 + 0.48 * self.success**3)
+        self.credit = min(5.0, self.credit + (0.05 if self.sounds else 0.5) * self.further_success)
         self.asks = min(20.0, self.asks + 3.0)
         category = self.categories.get(event.category)
         if category is None:
@@ -607,8 +607,8 @@
 
     def _close(self, item: Item, in_time: bool = False) -> None:
         """Nothing more is owed: call off what is still out and forget the rest."""
-        if item.tried:
-            self.success += 0.05 * (in_time - self.success)
+        if len(item.tried) > 1:
+            self.further_success += 0.1 * (in_time - self.further_success)
         self._forget_hold(item)
         item.over = True
         item.course.close()
