--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -38,10 +38,8 @@
     LIST_ERROR,
     NEVER_RAN,
     NOT_CONNECTED,
-    NOT_SENT,
     READY,
     RERUNNABLE,
-    TAKEN_BACK,
     TICKETED,
     TIMED_OUT,
     Alarm,
@@ -242,7 +240,6 @@
         self.running_mean: list[float] = []
         self.wait_seen: list[float] = []
         self.sent_cold: list[deque] = []
-        self.asked_of: list[int] = []
         self.last_report: list[dict[str, float] | None] = []
         self.kind_slots: dict[str, float] = {}
         self.slots: list[float] = []
@@ -259,8 +256,8 @@
         self.arrived = 0
         self.list_errors = 0
         self.probes = 0
-        self.asks = 10.0
-        self.sounds = self.can_probe and say("reporting.how") == "answers"
+        # Where workers may be probed, knowledge can be had for less than a second run of a work item.
+        self.further_part = 0.05 if self.can_probe and self.copies else 0.5
         self.service_mean = 0.0
         self.mean_work = 500.0
         # Start somewhere in the period, so that dispatchers started together don't steer in step.
@@ -303,8 +300,7 @@
     def _on_arrived(self, event: Arrived) -> None:
         self.arrived += 1
         # Half a further hand-off is earned by each work item, less where the recent ones did not help.
-        self.credit = min(5.0, self.credit + (0.05 if self.sounds else 0.5) * self.further_success)
-        self.asks = min(20.0, self.asks + 3.0)
+        self.credit = min(5.0, self.credit + self.further_part * self.further_success)
         category = self.categories.get(event.category)
         if category is None:
             category = self.categories[event.category] = Category(len(self.categories), {})
@@ -405,27 +401,6 @@
             self._heard_of(event.worker, event.report)
         if event.result == NOT_CONNECTED:
             self._sicken(i)
-        self.asked_of[i] = 0
-        self.freed = True
-
-    def _ask(self, item: Item) -> list[int]:
-        """Probe the next two in turn of which nothing was heard of late, and return them."""
-        if not self.sounds:
-            return []
-        asked = []
-        for _, i in sorted([(self.turn_at[i], i) for i in self.used]):
-            if self.now < self.full_until[i] or self.own[i] >= self.slots[i] or not self._able(item, i):
-                continue
-            if not self.asked_of[i] and self.now - self.heard[i] > 500.0:
-                if self.asks < 1.0:
-                    return asked
-                self.asks -= 1.0
-                self.asked_of[i] = 1
-                self.commands.append(Probe(self.name[i]))
-            asked.append(i)
-            if len(asked) == 2:
-                break
-        return asked
 
     # ---------------------------------------------------------------- the course of a work item
 
@@ -435,17 +410,7 @@
             if not item.category.late_payoff and self._too_late(item):
                 yield GIVE_UP, 0  # it can't be in time any more, and late pays nothing
                 return
-            i = -1
-            for _ in range(2):
-                asked = self._ask(item)
-                until = self.now + 0.2 * max(0.0, item.latest - self.now)
-                while self.now < until and any([self.asked_of[j] for j in asked]):
-                    yield HOLD, until
-                i = self._next_of(asked, item, -1)
-                if i >= 0:
-                    break
-            if i < 0:
-                i = self._in_turn(item)
+            i = self._in_turn(item)
             if i < 0:
                 # No slot is known to be free: a short queue will do, and no answer comes of a long one. Where
                 # queues are not reported they can't be told short from long: hold until holding cannot pay.
@@ -504,7 +469,8 @@
             # No hand-off is out and none finished.
             # What no worker may be given again is answered at once, not held.
             barred = not any([self._may_repeat_at(item, j) for j in self._ready()])
-            if len(item.tried) >= self.most or self.credit < self._cost(item) or self.now >= item.expiry or barred:
+            spent = len(item.tried) >= self.most or self.credit < self._cost(item)
+            if spent or self.now >= item.expiry or barred:
                 yield GIVE_UP, 0
                 return
 
@@ -999,7 +965,6 @@
             self.running_mean,
             self.wait_seen,
             self.slots,
-            self.asked_of,
         ):
             numbers.append(0.0)
         self.sent_cold.append(deque())
