--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -300,7 +300,7 @@
     def _on_arrived(self, event: Arrived) -> None:
         self.arrived += 1
         # Half a further hand-off is earned by each work item, less where the recent ones did not help.
-        self.credit = min(5.0, self.credit + self.further_part * self.further_success)
+        self.credit = min(20.0, self.credit + self.further_part * self.further_success)
         category = self.categories.get(event.category)
         if category is None:
             category = self.categories[event.category] = Category(len(self.categories), {})
@@ -386,7 +386,7 @@
         self.freed = True
         self._judge(item, tried, event)
         if event.over and not item.over:
-            self._close(item, self.now <= item.due)
+            self._close(item, event.result == FINISHED)
         if item.over:
             if item.out == 0:
                 self.items.pop(event.wi, None)
@@ -749,7 +749,7 @@
             return  # a report is refreshed now and then: the same figures again say nothing new
         self.last_report[i] = report
         kind = self.kind_of[i]
-        weight = max(0.3, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 1000.0))
+        weight = 0.3
         self.heard[i] = self.now
         rate = report.get("rate")
         if rate is not None and 0.0 <= rate < 1e6:
