--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -662,7 +662,7 @@
         """
         sure, sure_at, far, far_at, best, best_at = -1, NEVER, -1, NEVER, -1, NEVER
         # Own zone first unsettles the turns, so only where a crossing costs a point in 100 or more.
-        near = self.settings.get("prices.crossZone", 0.0) >= 0.01
+        near = self.settings.get("prices.crossZone", 0.0) >= 0.01 and not self.spare
         for i in among:
             at = self.turn_at[i]
             if at >= sure_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
