--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -407,7 +407,7 @@
     def _course(self, item: Item) -> Generator[tuple, Any, None]:
         """A work item from its arrival to its final answer."""
         while True:
-            if not item.category.late_payoff and self._too_late(item):
+            if self._too_late(item):
                 yield GIVE_UP, 0  # it can't be in time any more, and late pays nothing
                 return
             i = self._in_turn(item)
