What runs is not given up when its copy is taken back; of two begun only the first goes on

Cause: the course looked at the last hand-off only. Items with several hand-offs queued were never given up in time either. Ruled out: slow workers (running times as usual), the list (no change before). Test: what runs is neither given up nor joined by a copy.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -432,20 +432,22 @@
                 return
             while item.out:
                 # Begun or not, look again when it ought to have begun.
-                tried = item.tried[-1]
+                out = [tried for tried in item.tried if not tried.result]
+                running = sorted([other for other in out if other.begun], key=lambda other: other.begun)
+                tried = out[-1]
                 if said is TIME and self.now > item.expiry:
                     yield GIVE_UP, 0
                     return
                 if said is BEGUN:
+                    # Two may begin within a round trip: the first to begin goes on.
                     for number, other in enumerate(item.tried):
-                        if not other.result and not other.begun:
+                        if not other.result and other is not running[0]:
                             yield TAKE_BACK, number
                     said = yield WAIT, NEVER
-                elif said is TIME and self.tells_start and not tried.begun:
+                elif said is TIME and self.tells_start and not running:
                     waited = self.now - tried.sent
                     self.wait_seen[tried.worker] = max(self.wait_seen[tried.worker], waited)
-                    alone = item.out == 1 and self.can_take_back
-                    if alone and self._too_late(item) and self._harmless(item):
+                    if self.can_take_back and self._too_late(item) and self._harmless(item):
                         # It could only end late now, and keep what stands behind it from ending in time.
                         yield GIVE_UP, 0
                         return
@@ -463,7 +465,8 @@
                     said = yield WAIT, self.now + max(30.0, 0.25 * item.work)
                 else:
                     # Only where starts are told: a look that sees nothing would come again at once, forever.
-                    look = not tried.begun and self.tells_start
+                    # One that runs is waited for, whatever becomes of its copies.
+                    look = not running and self.tells_start
                     grace = self._grace(tried)
                     said = yield WAIT, max(self.now + 1.0, tried.sent + grace) if look else NEVER
             # No hand-off is out and none finished.
@@ -510,9 +513,9 @@
                 overdue = item.expiry + 0.5 * self.settings.get("rules.answerSlackMs", 2.0)
                 self._at(min(arg, overdue), item, item.stamp)
                 return
-            elif want is TAKE_BACK:
+            elif want is TAKE_BACK and self.can_take_back:
                 self.commands.append(TakeBack(item.wi, arg))
-            else:
+            elif want is GIVE_UP:
                 self._answer(item)
 
     def _forget_hold(self, item: Item) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -178,6 +178,20 @@
     assert not rig.brain.items
 
 
+@pytest.mark.parametrize("first", [0, 1])
+def test_what_runs_is_neither_given_up_nor_joined_by_a_copy(first):
+    rig = Rig(workers=4)
+    rig.feed(Arrived("a", "look", 5000.0, hint=200.0))
+    while len(rig.sent["a"]) < 2:
+        rig.feed(Alarm(rig.brain.token), after=50.0)
+    # Guards against giving up a running work item once its copy was taken back, and against running both.
+    rig.feed(Began("a", first))
+    assert TakeBack("a", 1 - first) in rig.feed(Began("a", 1 - first), after=5.0)
+    rig.feed(Ended("a", 1 - first, TAKEN_BACK, rig.sent["a"][1 - first][0]))
+    later = [command for _ in range(40) for command in rig.feed(Alarm(rig.brain.token), after=50.0)]
+    assert "a" not in rig.answer and not of(HandOff, later) and TakeBack("a", first) not in later
+
+
 @pytest.mark.parametrize(
     "settings",
     [
