--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -782,16 +782,20 @@
 
     def _fade(self) -> None:
         """What others have at a worker is believed less as the report ages: it fades to the mean of all."""
-        self._at(self.now + FADE, self._fade)
         ready = self._ready()
+        # A large fleet is looked over less often, so that it costs what sixteen workers do.
+        pause = FADE * max(1.0, len(ready) / 16.0)
+        self._at(self.now + pause, self._fade)
+        steps = pause / FADE
         slots = sum([self.slots[i] for i in ready])
         mean = sum([self.others[i] for i in ready]) / slots if slots else 0.0
+        quick, slow = 1.0 - 0.75**steps, 1.0 - 0.9**steps
         for i in ready:
-            self.own_mean[i] += 0.25 * (self.own[i] - self.own_mean[i])
-            self.running_mean[i] += 0.25 * (self.running[i] - self.running_mean[i])
-            self.wait_seen[i] *= 0.9
+            self.own_mean[i] += quick * (self.own[i] - self.own_mean[i])
+            self.running_mean[i] += quick * (self.running[i] - self.running_mean[i])
+            self.wait_seen[i] *= 1.0 - slow
             if self.now - self.heard[i] > FADE:
-                self.others[i] += 0.1 * (mean * self.slots[i] - self.others[i])
+                self.others[i] += slow * (mean * self.slots[i] - self.others[i])
         self.freed = True
 
     def _saw_run(self, i: int, run: float, expected: float) -> None:
@@ -857,6 +861,7 @@
         known = [rate for rate in rates if rate >= 0.0]
         mean = sum(known) / len(known) if known else 1.0
         units = sum([self.units[i] for i in ready]) or 1.0
+        queues = [self.queue[i] for i in ready if self.queue[i] >= 0.0]
         wanted = []
         over = []
         for i, rate in zip(ready, rates, strict=True):
@@ -866,7 +871,7 @@
             age = (self.now - self.heard[i]) / PERIOD
             rate = mean + (rate - mean) * 0.5 ** (age / 3.0)
             wanted.append(max(0.0, rate) * (1.0 - min(0.9, self.trouble[i])))
-            over.append(self._over_limit(i, ready))
+            over.append(self._over_limit(i, queues))
         total = sum(wanted) or 1.0
         for k, i in enumerate(ready):
             goal = wanted[k] / total
@@ -883,12 +888,12 @@
             self.share[i] = share
             self.fulls[i] = 0
 
-    def _over_limit(self, i: int, ready: list[int]) -> bool:
+    def _over_limit(self, i: int, queues: list[float]) -> bool:
         if self.queue[i] < 0.0:
             return self.fulls[i] > 0
-        rest = [self.queue[j] for j in ready if j != i and self.queue[j] >= 0.0]
         # Twice the others' mean, and at least three jobs: below that a queue is chance.
-        return self.queue[i] > max(3.0, 2.0 * sum(rest) / len(rest) if rest else 0.0)
+        others = (sum(queues) - self.queue[i]) / (len(queues) - 1) if len(queues) > 1 else 0.0
+        return self.queue[i] > max(3.0, 2.0 * others)
 
     # ---------------------------------------------------------------- the list of workers
 
