Cold budget goes round among dispatchers in whole parts

With a hundred dispatchers and more nobody's even part held a work item, so that fresh workers starved until warm. Now the wire's number of the dispatcher, the worker's hash and its age say whose turn it is; no dispatcher knows of another.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -249,6 +249,7 @@
         self.used: list[int] = []
         self.spare: list[int] = []
         self.rank: list[float] = []
+        self.first_turn: list[int] = []
         self.want_used = 8.0
         self.seen_arrived = 0
         self.credit = 1.0
@@ -614,20 +615,36 @@
         """Whether a hand-off keeps this dispatcher's part of a cold worker's budget.
 
         The rule counts what all dispatchers send within any span of the stated length, so each takes its own
-        part of what the worker can surely bear at its age.
+        part.
         """
-        age = self._cold_age(i)
-        if age >= self.cold:
+        if self._cold_age(i) >= self.cold:
             return True
+        sent = self.sent_cold[i]
+        while sent and sent[0][0] < self.now - self.settings.get("rules.tipAfterMs", 1000.0):
+            sent.popleft()
+        return sum([load for _, load in sent]) + self._load_of(item, i) <= self._cold_part(i)
+
+    def _cold_part(self, i: int) -> float:
+        """This dispatcher's part of what a cold worker can surely bear in a span, in slot-milliseconds."""
+        age = max(0.0, self._cold_age(i))
         span = self.settings.get("rules.tipAfterMs", 1000.0)
         least = self.settings.get("rules.coldFrom", 0.1)
-        able = least + (1.0 - least) * max(0.0, age) / self.cold
+        able = least + (1.0 - least) * age / self.cold
         most = self.settings.get("rules.fallMultiple", 1.0) * able * self.slots[i] * span
-        budget = most / self.dispatchers
-        sent = self.sent_cold[i]
-        while sent and sent[0][0] < self.now - span:
-            sent.popleft()
-        return sum([load for _, load in sent]) + self._load_of(item, i) <= budget
+        even = most / self.dispatchers
+        # The least that is of use: an item of the shortest category, by the guess made before any is seen.
+        part = min([category.expiry for category in self.categories.values()], default=1000.0) / 8
+        if even >= 0.5 * part:
+            return even
+        # Among many dispatchers nobody's even part would hold an item, and the worker would starve. So a few
+        # at a time get whole parts; each span the turn goes to others, all counting alike. Two turns fall into
+        # any span, so that each may spend half; a third of it is left for chance.
+        most *= 0.35
+        turn = int(age / span) * (int(0.618 * self.dispatchers) + 1)
+        place = (self.settings.get("me", 0.0) + turn + self.first_turn[i]) % self.dispatchers
+        if place + 1 <= most / part:
+            return part
+        return most if place < 1 else 0.0
 
     # ---------------------------------------------------------------- picking a worker
 
@@ -720,7 +737,8 @@
         most = max(8, int(self.want_used))
         # A sick worker does not count: the next in rank stands in.
         well = [i for _, i in order if self.now >= self.out_until[i]]
-        self.used = sorted(well[:most])
+        # A cold worker is in use by all: its budget goes round among them.
+        self.used = sorted(well[:most] + [i for i in well[most:] if self._cold_age(i) < self.cold])
         used = set(self.used)
         self.spare = [i for _, i in order if i not in used]
 
@@ -976,6 +994,7 @@
         ):
             numbers.append(0.0)
         self.sent_cold.append(deque())
+        self.first_turn.append(int(rank_of("", entry.worker) * self.dispatchers))
         self.rank.append(rank_of(str(self.settings.get("me", "")), entry.worker))
         self.last_report.append(None)
         self._reset(i)
