--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -250,6 +250,8 @@
         self.spare: list[int] = []
         self.rank: list[float] = []
         self.first_turn: list[int] = []
+        self.part: list[float] = []
+        self.part_until: list[float] = []
         self.want_used = 8.0
         self.seen_arrived = 0
         self.credit = 1.0
@@ -619,15 +621,21 @@
         """
         if self._cold_age(i) >= self.cold:
             return True
+        span = self.settings.get("rules.tipAfterMs", 1000.0)
+        if self.now >= self.part_until[i]:
+            # It grows with age; within a span the start of the span counts.
+            self.part_until[i] = self.now + span - max(0.0, self._cold_age(i)) % span
+            self.part[i] = self._cold_part(i, span)
+        if self.part[i] <= 0.0:
+            return False
         sent = self.sent_cold[i]
-        while sent and sent[0][0] < self.now - self.settings.get("rules.tipAfterMs", 1000.0):
+        while sent and sent[0][0] < self.now - span:
             sent.popleft()
-        return sum([load for _, load in sent]) + self._load_of(item, i) <= self._cold_part(i)
+        return sum([load for _, load in sent]) + self._load_of(item, i) <= self.part[i]
 
-    def _cold_part(self, i: int) -> float:
+    def _cold_part(self, i: int, span: float) -> float:
         """This dispatcher's part of what a cold worker can surely bear in a span, in slot-milliseconds."""
         age = max(0.0, self._cold_age(i))
-        span = self.settings.get("rules.tipAfterMs", 1000.0)
         least = self.settings.get("rules.coldFrom", 0.1)
         able = least + (1.0 - least) * age / self.cold
         most = self.settings.get("rules.fallMultiple", 1.0) * able * self.slots[i] * span
@@ -637,8 +645,8 @@
         if even >= 0.5 * part:
             return even
         # Among many dispatchers nobody's even part would hold an item, and the worker would starve. So a few
-        # at a time get whole parts; each span the turn goes to others, all counting alike. Two turns fall into
-        # any span, so that each may spend half; a third of it is left for chance.
+        # at a time get whole parts; each span the turn goes to others, all counting alike. Two turns fall
+        # into any span, so that each may spend half; a third of it is left for chance.
         most *= 0.35
         turn = int(age / span) * (int(0.618 * self.dispatchers) + 1)
         place = (self.settings.get("me", 0.0) + turn + self.first_turn[i]) % self.dispatchers
@@ -983,6 +991,8 @@
             self.run_seen,
             self.run_due,
             self.linked,
+            self.part,
+            self.part_until,
             self.trouble,
             self.out_until,
             self.out_step,
@@ -1007,7 +1017,7 @@
         self.others[i] = self.busy[i] = self.own_mean[i] = self.running_mean[i] = self.wait_seen[i] = 0.0
         # One sample of a second at the expected speed, so that the first running time does not decide alone.
         self.run_seen[i] = self.run_due[i] = 1000.0
-        self.linked[i] = 0.0
+        self.linked[i] = self.part_until[i] = 0.0
         self.trouble[i] = self.out_until[i] = self.out_step[i] = self.full_until[i] = 0.0
         self.last_report[i] = None
         self.sent_cold[i].clear()
