--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -862,8 +862,9 @@
             price = self.settings.get("prices.probe", 0.0)
             tolerated = min(2.0, 0.01 / price) if price > 0.0 else 2.0
             if self.arrived * tolerated >= self.probes:
-                self.probes += len(ready)
-                self.commands.extend([Probe(self.name[i]) for i in ready])
+                # Those in use: a report on a worker that gets nothing would be stale before it serves.
+                self.probes += len(self.used)
+                self.commands.extend([Probe(self.name[i]) for i in self.used])
         rates = []
         for i in ready:
             # At light load the delivered rate only echoes what was sent: count it for the busy part only.
