--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -232,6 +232,14 @@
     assert sum(map(len, probes)) == 4 * rounds
 
 
+@pytest.mark.parametrize("workers", [9, 60, 300])
+def test_only_workers_in_use_are_probed(workers):
+    rig = Rig(workers, policyLimits__connIdleMs=9000.0, reporting__how="probe", policyLimits__probing=True)
+    # Guards against three hundred dispatchers that each go round the whole fleet.
+    probed = {probe.worker for probe in of(Probe, rig.feed(after=PERIOD))}
+    assert probed == {rig.brain.name[i] for i in rig.brain.used} and len(probed) == 8
+
+
 def test_one_dispatcher_of_two_copies_keeps_the_one_that_begins():
     rig = Rig(workers=3)
     rig.feed(Arrived("a", "look", 5000.0, hint=200.0))
