--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -763,7 +763,7 @@
             return  # a report is refreshed now and then: the same figures again say nothing new
         self.last_report[i] = report
         kind = self.kind_of[i]
-        weight = max(0.3, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 2000.0))
+        weight = max(0.3, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
         self.heard[i] = self.now
         rate = report.get("rate")
         if rate is not None and 0.0 <= rate < 1e6:
