Clean-up: one check for a further hand-off, a dead field out, reasons beside constants

_affords stands for two copies of the same check; Category.late_payoff was read nowhere any more; the weight of a report stands where it is used; the start of the workers in use is not said twice; comments that no longer held are mended.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -94,7 +94,6 @@
         self.fresh = 0.0  # the longest budget seen
         self.stretch = said("aimStretch", stretches[number] if number < len(stretches) else 0.0)
         self.payoff = said("payoff", 1.0)
-        self.late_payoff = said("overduePayoff", 0.0)
         # A category whose effect is not told, or a group that we don't know, must never run twice.
         self.effect = said("effect", EXCLUSIVE)
         self.group = said("keyScope", "") if self.effect == TICKETED else "all"
@@ -227,14 +226,14 @@
         self.slots: list[float] = []
         self.cold = say("rules.coldMs", 0.0)
         self.turn_now = 0.0
-        # The workers in use, and the others; eight to start with, so that no single one decides.
+        # The workers in use, and the others.
         self.used: list[int] = []
         self.spare: list[int] = []
         self.rank: list[float] = []
         self.first_turn: list[int] = []
         self.part: list[float] = []
         self.part_until: list[float] = []
-        self.want_used = 8.0
+        self.want_used = 0.0
         self.seen_arrived = 0
         self.credit = 1.0
         self.further_success = 0.5
@@ -394,7 +393,7 @@
         """A work item from its arrival to its final answer."""
         while True:
             if self._too_late(item):
-                yield GIVE_UP, 0  # it can't be in time any more, and late pays nothing
+                yield GIVE_UP, 0  # late it would take the slot of one that can still be in time
                 return
             i = self._in_turn(item)
             if i < 0:
@@ -441,7 +440,7 @@
                     self._is_full(tried.worker)
                     # It may begin in a moment yet: move it once three tenths of its slack are spent.
                     spent = waited >= 0.3 * (item.latest - tried.sent) and waited >= self._grace(tried)
-                    if spent and self.credit >= self._cost(item) and len(item.tried) < self.most:
+                    if spent and self._affords(item):
                         j = self._in_turn(item, tried.worker)
                         if j >= 0 and self.copies:
                             said = yield HAND_OFF, j
@@ -459,8 +458,7 @@
             # No hand-off is out and none finished.
             # What no worker may be given again is answered at once, not held.
             barred = not any([self._may_repeat_at(item, j) for j in self._ready()])
-            spent = len(item.tried) >= self.most or self.credit < self._cost(item)
-            if spent or self.now >= item.expiry or barred:
+            if not self._affords(item) or self.now >= item.expiry or barred:
                 yield GIVE_UP, 0
                 return
 
@@ -468,10 +466,15 @@
         """What a further hand-off takes off the credit: its work, against that of a mean work item."""
         return item.work * item.slots / self.mean_work
 
+    def _affords(self, item: Item) -> bool:
+        """Whether one more hand-off is allowed and paid for."""
+        return len(item.tried) < self.most and self.credit >= self._cost(item)
+
     def _grace(self, tried: Tried) -> float:
         """How long a hand-off to a free worker may take to begin, the connection and the way included."""
         # Not seen yet: as long as the settings let a connection take.
         usual = self.start_ms.get(tried.path, self.settings.get("policyLimits.connectTimeoutMs", 100.0))
+        # The quickest is what was seen: half as much again, and 20 ms, for jitter and the worker's own delay.
         return 20.0 + 1.5 * usual
 
     def _too_late(self, item: Item) -> bool:
@@ -564,6 +567,7 @@
     def _close(self, item: Item, finished: bool = False) -> None:
         """Nothing more is owed: call off what is still out and forget the rest."""
         if len(item.tried) > 1:
+            # About the last ten count: a light dispatcher makes no more in a minute.
             self.further_success += 0.1 * (finished - self.further_success)
         self._forget_hold(item)
         item.over = True
@@ -674,7 +678,8 @@
         One that has room only by half a slot of doubt has its turn if none clearly has.
         """
         sure, sure_at, far, far_at, best, best_at = -1, NEVER, -1, NEVER, -1, NEVER
-        # Own zone first unsettles the turns, so only where a crossing costs a point in 100 or more.
+        # Own zone first unsettles the turns, so only where a crossing costs a point in 100 or more, and where
+        # all workers are in use: a few of them hold too few of the own zone to carry its traffic.
         near = self.settings.get("prices.crossZone", 0.0) >= 0.01 and not self.spare
         for i in among:
             at = self.turn_at[i]
@@ -727,6 +732,7 @@
     def _choose_used(self) -> None:
         """The workers in use: as many of the highest rank as this dispatcher's traffic keeps connected."""
         order = sorted([(self.rank[i], i) for i in self._ready()])
+        # Eight at least: with fewer, one sick or full worker is too large a part.
         most = max(8, int(self.want_used))
         # A sick worker does not count: the next in rank stands in.
         well = [i for _, i in order if self.now >= self.out_until[i]]
@@ -763,8 +769,6 @@
             return  # a report is refreshed now and then: the same figures again say nothing new
         self.last_report[i] = report
         kind = self.kind_of[i]
-        weight = max(0.3, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
-        self.heard[i] = self.now
         rate = report.get("rate")
         if rate is not None and 0.0 <= rate < 1e6:
             rate = max(0.0, rate - max(0.0, report.get("errors", 0.0)))
@@ -781,7 +785,9 @@
             used = max(0.0, self.slots[i] - free) + max(0.0, self.queue[i])
             self.busy[i] = 0.5 * (self.busy[i] + used)
             # The report is some way behind: compare it with what this dispatcher had there lately.
-            # A single look tells little, as work items come and go between two: three tenths of it count.
+            # A single look tells little, as work items come and go between two: three tenths of it count,
+            # more where the last is over 2 s old. In 4 s most of what was known has faded to the mean of all.
+            weight = max(0.3, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
             # Where no queue is told, only what runs can be compared.
             ours = self.own_mean[i] if self.queue[i] >= 0.0 or not self.tells_start else self.running_mean[i]
             self.others[i] += weight * (used - ours - self.others[i])
@@ -790,6 +796,7 @@
         if service > 0.0:
             self.service_mean = 0.95 * self.service_mean + 0.05 * service if self.service_mean else service
             self._saw_run(i, service, self.service_mean)
+        self.heard[i] = self.now
 
     def _fade(self) -> None:
         """What others have at a worker is believed less as the report ages: it fades to the mean of all."""
