--- a/dunepulley/net/config.py
+++ b/dunepulley/net/config.py
@@ -35,6 +35,7 @@
     sockets: int
     known: Listed
     settings: dict[str, object]
+    path: str = ""
 
     def told(self) -> str:
         """What was told, for a person."""
@@ -75,6 +76,7 @@
             int(limits.get("sockets", 1024)),
             listed(known, face.DISK_LIST) if known else Listed(0, face.ListNews(face.DISK_LIST), {}),
             settings_of(told["settings"]),
+            path,
         )
     except KeyError as problem:
         raise UnusableError(f"{path}: {problem} is missing") from problem
@@ -82,6 +84,12 @@
         raise UnusableError(f"{path}: {problem}") from problem
 
 
+def read_again(start: Start) -> Start:
+    """The configuration file as it is now; what the environment said of discovery held for the start only."""
+    host, port = start.listen
+    return read({"ROUTER_NAME": start.name, "ROUTER_LISTEN": f"{host}:{port}"}, start.path)
+
+
 def address_of(text: str) -> tuple[str, int]:
     """Host and port of `host:port`."""
     host, _, port = text.rpartition(":")
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -35,17 +35,17 @@
         self.workers = Workers(start.settings, sockets, self.core.put, self.counters)
         self.core.hands = self.workers
         self.clients = Clients(self.core, start.settings, sockets, self.counters)
-        self.discovery = Discovery(start.discovery, start.known.revision, self.core.put, self.counters)
-        self.tasks: list[asyncio.Task] = []
+        self.discovery = start.discovery
+        self.watch: asyncio.Task | None = None
+        self.task: asyncio.Task | None = None
         self.ended = asyncio.Event()
         self.port = 0
 
     async def start(self) -> None:
         """Begin to listen and to watch."""
-        for work in (self.core.run(), self.discovery.run()):
-            task = asyncio.create_task(work)
-            task.add_done_callback(self._task_ended)
-            self.tasks.append(task)
+        self.task = asyncio.create_task(self.core.run())
+        self.task.add_done_callback(self._task_ended)
+        self._watch(self.start_with.known.revision)
         host, port = self.start_with.listen
         try:
             self.port = self.clients.listen(host, port)
@@ -53,6 +53,32 @@
             raise config.UnusableError(f"cannot listen at {host}:{port}: {problem.strerror}") from problem
         self.clients.accepting.add_done_callback(self._task_ended)
 
+    def _watch(self, revision: int) -> None:
+        """Watch the present discovery from a version on; the watch before it, if any, is given back."""
+        if self.watch is not None:
+            self.watch.cancel()
+        work = Discovery(self.discovery, revision, self.core.put, self.counters).run()
+        self.watch = asyncio.create_task(work)
+        self.watch.add_done_callback(self._task_ended)
+
+    def reload(self) -> None:
+        """What SIGHUP asks: read the file again and watch the discovery that it names now.
+
+        All else in it holds from the next start on; nothing in hand is disturbed.
+        """
+        self.counters["reloads"] += 1
+        try:
+            told = config.read_again(self.start_with)
+        except config.UnusableError as problem:
+            # It may be half written or gone: no reason to lose the discovery that there is.
+            log.say("reload", f"the old configuration goes on: {problem}")
+            return
+        if told.discovery != self.discovery:
+            log.say("reload", f"discovery is at {told.discovery} now")
+            self.discovery = told.discovery
+            # Its versions need not continue those of the old one: have the whole list.
+            self._watch(0)
+
     def _task_ended(self, task: asyncio.Task) -> None:
         """None of these tasks ends by itself: without one of them nothing would be served any more."""
         if not task.cancelled():
@@ -77,9 +103,10 @@
     async def close(self) -> None:
         """Give back every socket and task."""
         await self.clients.close()
-        for task in self.tasks:
+        tasks = [task for task in (self.task, self.watch) if task is not None]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self.workers.close()
 
 
@@ -92,6 +119,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_end.set)
     service = Service(start)
+    loop.add_signal_handler(signal.SIGHUP, service.reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: print_counters(service.counters))
     try:
         await service.start()
@@ -107,6 +135,9 @@
             return 1
         await service.finish()
     finally:
+        # From here on there is nothing left to watch for.
+        loop.remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         with contextlib.suppress(OSError):
             await service.close()
         print_counters(service.counters)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -12,6 +12,7 @@
 from helpers import (
     CLOSE,
     CUT,
+    SILENT,
     STREAM,
     TAKEN,
     Peer,
@@ -225,6 +226,7 @@
 
     def __init__(self, folder, worker, watch, **settings):
         self.path = folder / "config.json"
+        self.environment = os.environ | {"ROUTER_DISCOVERY": watch.address}
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
         categories = [dict(TOLD["settings"]["categories"][0], **settings)]
@@ -239,7 +241,7 @@
     async def __aenter__(self):
         command = [sys.executable, "-m", "dunepulley", "serve", "--config", str(self.path)]
         pipe = asyncio.subprocess.PIPE
-        self.process = await asyncio.create_subprocess_exec(*command, stderr=pipe, env=os.environ)
+        self.process = await asyncio.create_subprocess_exec(*command, stderr=pipe, env=self.environment)
         async with asyncio.timeout(8.0):
             while True:
                 with contextlib.suppress(OSError):
@@ -330,6 +332,58 @@
         writer.close()
 
 
+@on_loop
+async def test_sighup_watches_the_new_discovery_and_disturbs_nothing(tmp_path):
+    async def told():
+        yield STREAM
+        for now in (members(), members(member("w0", other.address))):
+            yield chunk(json.dumps(now).encode() + b"\n")
+            await more.wait()
+        await asyncio.Event().wait()
+
+    async def health():
+        return (await node.say(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")).target
+
+    more = asyncio.Event()
+    async with (
+        Peer(lambda call: TAKEN) as worker,
+        Peer(lambda call: TAKEN) as other,
+        Peer(lambda call: SILENT) as watch,
+        Peer(lambda call: told()) as moved,
+        Process(tmp_path, worker, watch) as node,
+    ):
+        before, before_writer = await node.open(request("/look/1", wi="before"))
+        await until(lambda: worker.seen)
+        text = node.path.read_text()
+        # Missing, half written, naming nothing: each is one line, and the old discovery stays.
+        for bad in (None, text[:200], "{}"):
+            node.path.unlink() if bad is None else node.path.write_text(bad)
+            node.process.send_signal(signal.SIGHUP)
+            while b"the old configuration goes on" not in await node.process.stderr.readline():
+                pass
+        assert watch.connections == 1 and not watch.closed and not moved.seen
+        node.path.write_text(text.replace(watch.address, moved.address))
+        node.process.send_signal(signal.SIGHUP)
+        await until(lambda: moved.seen and watch.closed == watch.connections == 1)
+        # A version of the old one means nothing here.
+        assert moved.seen[0].target == "/catalog/members?stream=1&index=0"
+        while await health() != "503":
+            pass
+        more.set()
+        while await health() != "200":
+            pass
+        after, after_writer = await node.open(request("/look/1", wi="after"))
+        await until(lambda: other.seen)
+        # The same file again changes nothing.
+        node.process.send_signal(signal.SIGHUP)
+        for wi, reader in (("before", before), ("after", after)):
+            await node.event(wi, "done")
+            assert (await read_call(reader)).target == "200"
+        assert moved.connections == 1 and node.process.returncode is None
+        for writer in (before_writer, after_writer):
+            writer.close()
+
+
 def test_the_log_is_limited_by_kind(capsys, monkeypatch):
     monkeypatch.setattr(log, "_spans", {})
     now = [100.0]
