Only whole requests that nothing follows reach the library; silence and halves end after 2 s

Read in clients.py: a body had 10 s to come (BODY_S) and a head or a silent connection 75 s, against 3 s owed; a head could reach a megabyte (128 fields of 8 KB); a request with a short Content-Length went on with half a body when the rest came later; what came behind a request in hand waited as the next one; after a 4xx the connection stayed; at the limit nothing younger than 1 s was closed. Checked with the library alone: it refuses Content-Length beside Transfer-Encoding and bad characters itself, so that was not the loss; it does not refuse what follows a body.

Changed: each connection is read by `Connection`, which holds bytes until a request is whole (16 KB of head, 64 KB of body, 2 s from connecting or from its first byte), refuses what two readers could understand in two ways, and anything that comes behind; the parser, its task and its buffers start with the first whole request. Every 4xx ends its connection. Work items may hold a third of the descriptors, all that comes in five eighths; for room the oldest connection without a request goes first.

Tests: a table of lengths and framings in one piece and in two, halves and silence against kept connections, bodies in chunks of any size, bytes behind a request in hand, a flood beside a usual client and a callback.

--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -23,8 +23,19 @@
 from dunepulley.net.counters import Counters
 
 BODY_LIMIT = 65536
-# A body that takes longer than this to come is not coming.
-BODY_S = 10.0
+# A usual head has a few hundred bytes; one without end must not fill the memory.
+HEAD_LIMIT = 16384
+# Clients send a request in one go. One that is not whole after this, from the connection's begin or from the
+# request's first byte, is not coming; who waits for an answer is owed one within 3 s of connecting.
+WHOLE_S = 2.0
+# How long an answer may take to be read by someone who is still sending.
+READ_IT_S = 0.25
+# How the body's length is told, and what would let two readers understand a head in two ways.
+LENGTH = re.compile(rb"\r\ncontent-length[ \t]*:[ \t]*([^\r]*?)[ \t]*(?=\r\n)", re.I)
+CODING = re.compile(rb"\r\ntransfer-encoding[ \t]*:[ \t]*([^\r]*?)[ \t]*(?=\r\n)", re.I)
+EXPECT = re.compile(rb"\r\nexpect:[ \t]*100-continue", re.I)
+TWISTED = re.compile(rb"(?<!\r)\n|\r(?!\n)|\r\n[ \t]|\0")
+CHUNK = re.compile(rb"([0-9a-fA-F]{1,5})\r\n")
 # The id becomes part of a path when a hand-off is taken back: no character that means something there.
 ID = re.compile(r"[A-Za-z0-9._~-]{1,128}")
 TARGET = re.compile(r"/[!-~]*")
@@ -42,43 +53,223 @@
 IDLE_S = 1.0
 
 
+def framing_of(head: bytes) -> int:
+    """The length of the body that a head announces, -1 if it comes in chunks.
+
+    Where two readers could see two lengths, what follows might be taken for a request of its own: such heads
+    are turned away here, before anything else reads them.
+    """
+    if TWISTED.search(head):
+        raise MalformedError(400, "lines that end oddly or are folded")
+    lengths = LENGTH.findall(head)
+    coding = CODING.findall(head)
+    if coding:
+        if lengths or len(coding) > 1 or coding[0].lower() != b"chunked":
+            raise MalformedError(400, "Transfer-Encoding beside a length, or not chunked")
+        return -1
+    if not lengths:
+        return 0
+    if len(lengths) > 1 or not lengths[0].isdigit():
+        raise MalformedError(400, "Content-Length is doubled or no whole number")
+    # Nineteen digits are more than any body has, and int() of many thousands would take long.
+    if len(lengths[0]) > 18 or int(lengths[0]) > BODY_LIMIT:
+        raise MalformedError(413, "the body is too large")
+    return int(lengths[0])
+
+
+def chunks_end(raw: bytearray, at: int) -> int:
+    """Where a body in chunks that begins at `at` ends; 0 while it is not all there."""
+    while True:
+        chunk = CHUNK.match(raw, at)
+        if chunk is None:
+            if len(raw) - at >= 8 or b"\n" in raw[at:]:
+                raise MalformedError(400, "a chunk without its length")
+            return 0
+        size = int(chunk[1], 16)
+        at = chunk.end() + size + 2
+        if len(raw) >= at and raw[at - 2 : at] != b"\r\n":
+            raise MalformedError(400, "a chunk of another length than it says, or a trailer")
+        if size == 0 or len(raw) < at:
+            return at if len(raw) >= at else 0
+
+
+class Connection(asyncio.Protocol):
+    """One connection that comes in.
+
+    Bytes wait here until a request is whole, and only a whole one that nothing follows goes on to the
+    library.
+    What has no plain length, is too large, does not come in time or brings more than it announced is turned
+    away here, which costs neither a task nor a parser, and nothing of it can reach a worker.
+    """
+
+    __slots__ = ("front", "transport", "handler", "raw", "head", "length", "busy", "timer")
+
+    def __init__(self, front: Front) -> None:
+        self.front = front
+        self.transport: asyncio.Transport
+        self.handler: RequestHandler | None = None
+        self.raw = bytearray()
+        self.head = self.length = 0
+        self.busy = False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.timer = self.front.loop.call_later(WHOLE_S, self._late)
+        self.front.came(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self._stop_timer()
+        self.front.left(self)
+        if self.handler is not None:
+            self.handler.connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        if self.handler is not None:
+            self.handler.pause_writing()
+
+    def resume_writing(self) -> None:
+        if self.handler is not None:
+            self.handler.resume_writing()
+
+    def data_received(self, data: bytes) -> None:
+        if self.transport.is_closing():
+            return
+        if self.timer is None:
+            self.timer = self.front.loop.call_later(WHOLE_S, self._late)
+            self.front.idle.pop(self, None)
+        self.raw += data
+        try:
+            # Clients send one request at a time: what comes behind one belongs to none.
+            whole = not self.busy and self._is_whole(len(data))
+            if self.busy or whole and self.raw[self.length :]:
+                raise MalformedError(400, "more came than one request")
+        except MalformedError as problem:
+            self.refuse(*problem.args)
+            return
+        if whole:
+            self._pass_on()
+
+    def _is_whole(self, new: int) -> bool:
+        """Whether a whole request has come; `length` is then how long it is."""
+        if not self.head:
+            at = self.raw.find(b"\r\n\r\n", max(0, len(self.raw) - new - 3))
+            if (at if at >= 0 else len(self.raw)) > HEAD_LIMIT:
+                raise MalformedError(431, "the head is too long")
+            if at < 0:
+                return False
+            self.head = at + 4
+            head = bytes(self.raw[: at + 2])
+            length = framing_of(head)
+            self.length = self.head + length if length >= 0 else 0
+            if EXPECT.search(head) and len(self.raw) == self.head and length:
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if not self.length:
+            end = chunks_end(self.raw, self.head)
+            if not end and len(self.raw) - self.head > 2 * BODY_LIMIT:
+                raise MalformedError(413, "the body is too large")
+            if end:
+                self.length = end
+        return 0 < self.length <= len(self.raw)
+
+    def _pass_on(self) -> None:
+        raw = bytes(self.raw)
+        self.raw = bytearray()
+        self.head = self.length = 0
+        self.busy = True
+        self._stop_timer()
+        self.front.strangers.pop(self, None)
+        if self.handler is None:
+            self.handler = self.front()
+            self.handler.connection_made(self.transport)
+        self.handler.data_received(raw)
+
+    def rest(self) -> None:
+        """The request in hand has its answer."""
+        self.busy = False
+        if not self.transport.is_closing():
+            self.front.idle[self] = self.front.loop.time()
+
+    def refuse(self, status: int, reason: str) -> None:
+        """Turn away what came, and whatever else comes over this connection."""
+        self.front.counters[f"turned away {status}"] += 1
+        text = f"HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        self.transport.write(text.encode())
+        self.raw = bytearray()
+        self._stop_timer()
+        if status == 413:
+            # Closing at once, with more on its way in, would break the connection before the answer is read.
+            self.transport.pause_reading()
+            self.timer = self.front.loop.call_later(READ_IT_S, self.transport.abort)
+        else:
+            self.transport.close()
+
+    def _late(self) -> None:
+        self.timer = None
+        if self.raw:
+            self.refuse(408, "the request did not come")
+        else:
+            self.front.counters["silent connections closed"] += 1
+            self.transport.close()
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
 class Front(web.Server):
-    """The connections that come in; over the limit, the one that has been idle the longest is closed."""
+    """The connections that come in, and which of them is closed when there are too many."""
 
-    def __init__(self, handler: Any, limit: int, **more: Any) -> None:
+    def __init__(self, handler: Any, limit: int, counters: Counters, **more: Any) -> None:
         super().__init__(handler, **more)
+        self.loop = asyncio.get_running_loop()
         self.limit = limit
-        # Since when each connection without a request has been idle, the longest first.
-        self.idle: dict[RequestHandler, float] = {}
-
-    def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
-        super().connection_made(handler, transport)
-        if len(self._connections) > self.limit:
-            self.make_room()
-        self.rest(handler)
-
-    def connection_lost(self, handler: RequestHandler, exc: BaseException | None = None) -> None:
-        self.idle.pop(handler, None)
-        super().connection_lost(handler, exc)
-
-    def rest(self, handler: RequestHandler) -> None:
-        """A connection has no request any more."""
-        self.idle.pop(handler, None)
-        if handler.transport is not None:
-            self.idle[handler] = self._loop.time()
-
-    def make_room(self) -> None:
-        """Close the connection that has been idle the longest."""
-        handler = next(iter(self.idle), None)
-        if handler is not None and self._loop.time() - self.idle[handler] > IDLE_S:
-            del self.idle[handler]
-            handler.force_close()
+        self.counters = counters
+        self.everyone: set[Connection] = set()
+        # Since when those are there that have not sent a whole request yet, and since when the others have
+        # been idle; the longest first.
+        self.strangers: dict[Connection, float] = {}
+        self.idle: dict[Connection, float] = {}
+
+    def connection(self) -> Connection:
+        """What reads a new connection."""
+        return Connection(self)
+
+    def came(self, connection: Connection) -> None:
+        """A connection is there; over the limit another one is closed for it, or it is closed itself."""
+        if len(self.everyone) >= self.limit and not self.make_room():
+            self.counters["connections without room"] += 1
+            connection.transport.abort()
+        self.everyone.add(connection)
+        self.strangers[connection] = self.loop.time()
+
+    def left(self, connection: Connection) -> None:
+        """The one place where a connection is forgotten."""
+        self.everyone.discard(connection)
+        self.strangers.pop(connection, None)
+        self.idle.pop(connection, None)
+
+    def make_room(self) -> bool:
+        """Close the one that has kept silent the longest since it came, else the one idle the longest.
+
+        Clients send with connecting, and what has come is read before the next connection is taken: the
+        oldest of many that have sent nothing has nothing to say.
+        """
+        now = self.loop.time()
+        for some, least in ((self.strangers, 0.0), (self.idle, IDLE_S)):
+            connection = next(iter(some), None)
+            if connection is not None and now - some[connection] >= least:
+                # Its descriptor is free in a moment; it must not be found here again until then.
+                self.left(connection)
+                connection.transport.abort()
+                return True
+        return False
 
     def close_idle(self) -> None:
         """Close all that wait for a next request; a client whose request crosses this sends it again."""
-        for handler in list(self.idle):
-            handler.force_close()
-        self.idle.clear()
+        for connection in [*self.strangers, *self.idle]:
+            connection.transport.close()
 
 
 class Clients:
@@ -93,21 +284,21 @@
             str(number) if name is None else name: effect == face.TICKETED
             for number, (name, effect) in enumerate(zip(names, effects, strict=True))
         }
-        # Each work item in hand holds a connection. Half the descriptors are for them and a quarter for
-        # callbacks, which come over new ones; the rest is for workers and discovery.
-        self.most = min(sockets // 2, int(settings.get("policyLimits.openCap", sockets)))
+        # Each work item in hand holds a connection: a third of the descriptors at most. Five eighths are for
+        # all that comes in, callbacks and who says nothing included; the rest is for workers and discovery.
+        self.most = min(sockets // 3, int(settings.get("policyLimits.openCap", sockets)))
         self.waiting: dict[str, Job] = {}
         self.none_waiting = asyncio.Event()
         self.stopping = self.stopped = False
         self.server = Front(
             self._serve,
-            sockets * 3 // 4,
+            sockets * 5 // 8,
+            counters,
             handler_cancellation=True,
             request_factory=_request,
             access_log=None,
             auto_decompress=False,
             keepalive_timeout=75.0,
-            lingering_time=1.0,
         )
         self.listener: socket.socket | None = None
         self.accepting: asyncio.Task | None = None
@@ -137,7 +328,7 @@
                 await asyncio.sleep(0.02)
                 continue
             try:
-                await loop.connect_accepted_socket(self.server, connection)
+                await loop.connect_accepted_socket(self.server.connection, connection)
             except OSError:
                 connection.close()
 
@@ -176,12 +367,11 @@
     # ---------------------------------------------------------------- requests
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        connection = request.protocol
-        self.server.idle.pop(connection, None)
+        connection = request.protocol.transport.get_protocol()
         try:
             response = await self._route(request)
         finally:
-            self.server.rest(connection)
+            connection.rest()
         if self.stopping:
             response.force_close()
         return response
@@ -201,8 +391,8 @@
             status, reason = problem.args
             self.counters[f"turned away {status}"] += 1
             response = web.Response(status=status, text=reason + "\n")
-            if status in (408, 413):
-                response.force_close()  # the rest of the body is not waited for
+            # Who sends what cannot be used is not given a descriptor to keep.
+            response.force_close()
             return response
         if self.stopped or len(self.waiting) >= self.most:
             # Like the simulator's limit on open requests: turned away before it reaches the module. Nothing
@@ -215,17 +405,9 @@
         return await self._answer(job)
 
     async def _body(self, request: web.BaseRequest) -> bytes:
-        """A request's body, if it is of a size that is allowed and comes in time."""
-        if (request.content_length or 0) > BODY_LIMIT:
-            raise MalformedError(413, "the body is too large")
-        if request.headers.get("Expect", "").lower() == "100-continue":
-            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            request.writer.output_size = 0
+        """A request's body, which has come with its head; one in chunks may be too large."""
         try:
-            async with asyncio.timeout(BODY_S):
-                return await request.read()
-        except TimeoutError as problem:
-            raise MalformedError(408, "the body did not come") from problem
+            return await request.read()
         except web.HTTPRequestEntityTooLarge as problem:
             raise MalformedError(413, "the body is too large") from problem
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,6 +1,7 @@
 """The front: work items through a whole dispatcher, clients that go, bad input, and few descriptors."""
 
 import asyncio
+import contextlib
 import os
 import resource
 import socket
@@ -9,6 +10,8 @@
 import pytest
 from helpers import SILENT, TAKEN, Town, answer, member, members, on_loop, read_call, request, until
 
+from dunepulley.net import clients
+
 KEY = "Idempotency-Key: k"
 
 
@@ -75,7 +78,9 @@
         (b"POST /look/1 HTTP/9.9\r\n\r\n", "400"),
         (b"POST /look/1 HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400"),
         (b"POST /look/1 HTTP/1.1\r\nbad header\r\n\r\n", "400"),
-        (b"POST /look/1 HTTP/1.1\r\nX-Long: " + b"x" * 20000 + b"\r\n\r\n", "400"),
+        (b"POST /look/1 HTTP/1.1\r\nX-Long: " + b"x" * 20000 + b"\r\n\r\n", "431"),
+        (b"POST /look/1 HTTP/1.1\r\nX-Long: " + b"x" * 20000, "431"),
+        (b"POST /look/1 HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + b"x" * 999999, "413"),
         (request("/v1/job-events", b"{", wi=None), "400"),
         (request("/v1/job-events", b"x" * 65537, wi=None), "413"),
     ],
@@ -85,9 +90,146 @@
     async with Town(taken) as town:
         assert (await town.say(raw)).target == status
         assert not town.workers[0].seen and not town.core.counters["taken"]
+        await until(lambda: not town.clients.server.everyone)
         assert (await town.say(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")).target == "200"
 
 
+HIDDEN = request("/look/2", b"", wi="hidden")
+
+
+@pytest.mark.parametrize(
+    ("lines", "body"),
+    [
+        (["Content-Length: 5", "Transfer-Encoding: chunked"], b"0\r\n\r\n" + HIDDEN),
+        (["Transfer-Encoding: chunked", "content-length:5"], b"0\r\n\r\n" + HIDDEN),
+        (["Content-Length: 1", "Content-Length: 1"], b"x"),
+        (["Content-Length: 1", "Content-Length: 9"], b"x" + HIDDEN),
+        (["Content-Length: 1, 1"], b"x"),
+        (["Content-Length: -1"], b"x"),
+        (["Content-Length: +1"], b"x"),
+        (["Content-Length:"], b"x"),
+        (["Content-Length: 1" + "0" * 30], b"x"),
+        (["Content-Length: 1"], b"xyz"),  # shorter than the body
+        (["Content-Length: 1"], b"x" + HIDDEN),
+        ([], HIDDEN),
+        (["X-Odd: a\n Content-Length: 9", "Content-Length: 1"], b"x"),
+        (["X-Odd: a", " Content-Length: 9", "Content-Length: 1"], b"x"),
+        (["Transfer-Encoding: chunked", "Transfer-Encoding: chunked"], b"0\r\n\r\n"),
+        (["Transfer-Encoding: gzip, chunked"], b"0\r\n\r\n"),
+        (["Transfer-Encoding: chunked"], b"1\r\nxyz\r\n0\r\n\r\n"),
+        (["Transfer-Encoding: chunked"], b"zz\r\nx\r\n0\r\n\r\n"),
+        (["Transfer-Encoding: chunked"], b"0\r\nX-Trailer: 1\r\n\r\n"),
+        (["Transfer-Encoding: chunked"], b"0\r\n\r\n" + HIDDEN),
+        (["Transfer-Encoding: chunked"], b"fffffffff\r\nx"),
+    ],
+)
+@pytest.mark.parametrize("split", [False, True])
+@on_loop
+async def test_a_request_of_two_lengths_ends_its_connection_and_hides_nothing(lines, body, split):
+    async with Town(taken) as town:
+        reader, writer = await town.connect()
+        head = ["POST /look/1 HTTP/1.1", "Host: a", "X-Call-Id: a", "X-Budget-Ms: 900", *lines, "", ""]
+        writer.write("\r\n".join(head).encode())
+        if split:  # what follows comes later
+            await until(lambda: any([c.raw for c in town.clients.server.everyone]) or town.core.counters)
+        writer.write(body)
+        writer.write(HIDDEN)
+        told = await read_call(reader)
+        assert told.target.startswith("4") and told.headers["connection"] == "close"
+        with contextlib.suppress(ConnectionError):
+            assert await reader.read() == b""
+        await until(lambda: not town.core.open and not town.clients.waiting)
+        assert not [call for call in town.workers[0].seen if call.headers.get("x-call-id") == "hidden"]
+        writer.close()
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+@on_loop
+async def test_a_body_in_chunks_goes_on_whole(size):
+    body = bytes(range(256)) * 20
+    raw = b"".join([b"%X\r\n%s\r\n" % (len(part), part) for part in (body[:3000], body[3000:])])
+    async with Town(taken) as town:
+        reader, writer = await town.connect()
+        head = request("/look/1").replace(b"Content-Length: 1", b"Transfer-Encoding: chunked")[:-1]
+        raw = head + raw + b"0\r\n\r\n"
+        for at in range(0, len(raw), size):
+            writer.write(raw[at : at + size])
+            await asyncio.sleep(0)
+        await until(lambda: town.workers[0].seen)
+        assert town.workers[0].seen[0].body == body
+        await town.event("w0", "done", result="made")
+        assert (await read_call(reader)).target == "200"
+        writer.close()
+
+
+@on_loop
+async def test_what_comes_behind_a_request_in_hand_ends_it():
+    def say(call):
+        return answer(204) if call.method == "DELETE" else TAKEN
+
+    async with Town(say) as town:
+        reader, writer = await town.connect()
+        writer.write(request("/look/1"))
+        await until(lambda: town.workers[0].seen)
+        writer.write(HIDDEN)
+        assert (await read_call(reader)).target == "400"
+        await until(lambda: [call for call in town.workers[0].seen if call.method == "DELETE"])
+        await until(lambda: not town.core.open and not town.clients.waiting)
+        assert [call.headers["x-call-id"] for call in town.workers[0].seen if call.method == "POST"] == ["a"]
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"", ""),
+        (b"POST /look/1 HTT", "408"),
+        (request("/look/1", b"body")[:-1], "408"),
+        (request("/look/1", b"x").replace(b"Length: 1", b"Length: 9"), "408"),
+        (b"POST /look/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "408"),
+    ],
+)
+@on_loop
+async def test_who_sends_no_whole_request_is_not_waited_for(raw, status, monkeypatch):
+    assert clients.WHOLE_S + clients.READ_IT_S < 2.5  # of the 3 s that are allowed
+    monkeypatch.setattr(clients, "WHOLE_S", 0.1)
+    async with Town(taken) as town:
+        kept, kept_writer = await town.connect()
+        for wi in ("a", "b"):
+            kept_writer.write(request("/look/1", wi=wi))
+            await until(lambda wi=wi: [c for c in town.workers[0].seen if c.headers["x-call-id"] == wi])
+            reader, writer = await town.connect()
+            writer.write(raw)
+            assert (await reader.read()).decode("latin-1").partition(" ")[2][:3] == status
+            writer.close()
+            # Also a work item that takes longer, and a connection kept for the next, stay.
+            await town.event("w0", "done", wi, result="made")
+            assert (await read_call(kept)).target == "200"
+        # A half is not waited for on a kept connection either.
+        kept_writer.write(request("/look/1", wi="c")[:-1])
+        assert (await read_call(kept)).target == "408"
+        assert len(town.workers[0].seen) == 2
+        kept_writer.close()
+
+
+@on_loop
+async def test_a_flood_leaves_room_for_usual_clients_and_callbacks():
+    async with Town(taken, sockets=32) as town:  # twenty connections come in at most
+        kept, kept_writer = await town.connect()
+        kept_writer.write(request("/look/1"))
+        await until(lambda: town.workers[0].seen)
+        flood = [await town.connect() for _ in range(60)]
+        told = await asyncio.gather(*[town.say(request("/odd/1", wi=f"o{n}")) for n in range(60)])
+        assert {call.target for call in told} == {"404"}
+        assert len(town.clients.server.everyone) <= town.clients.server.limit == 20
+        assert (await town.event("w0", "done", result="made")).target == "204"
+        assert (await read_call(kept)).target == "200"
+        for _, writer in (*flood, (kept, kept_writer)):
+            writer.close()
+        await until(lambda: not town.clients.server.everyone)
+        assert not town.clients.server.strangers and not town.clients.server.idle
+
+
 @on_loop
 async def test_a_client_may_wait_for_a_word_before_it_sends_the_body():
     async with Town(taken) as town:
@@ -221,19 +363,19 @@
 
 @on_loop
 async def test_idle_connections_make_room_and_too_many_items_are_turned_away():
-    async with Town(taken, sockets=8) as town:  # six connections and four items at most
+    async with Town(taken, sockets=12) as town:  # four items at most
         town.clients.server.limit = 6
         idle = [await town.connect() for _ in range(6)]
-        await until(lambda: len(town.clients.server.idle) == 6)
-        for handler in town.clients.server.idle:
-            town.clients.server.idle[handler] -= 5.0  # idle for long
+        await until(lambda: len(town.clients.server.strangers) == 6)
+        for connection in town.clients.server.strangers:
+            town.clients.server.strangers[connection] -= 5.0  # silent for long
         busy = []
         for number in range(4):
             reader, writer = await town.connect()
             writer.write(request("/look/1", wi=f"i{number}"))
             busy.append((reader, writer))
             await until(lambda number=number: len(town.clients.waiting) == number + 1)
-        assert len(town.clients.server.connections) <= 6
+        assert len(town.clients.server.everyone) <= 6
         assert await idle[0][0].read() == b""  # the longest idle was closed
         told = await town.say(request("/look/1", wi="more"))
         assert told.target == "503" and told.headers["connection"] == "close"
@@ -256,7 +398,7 @@
     async with Town(taken, taken, taken) as town:
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         reader, writer = await town.connect()
-        await until(lambda: town.clients.server.connections)
+        await until(lambda: town.clients.server.everyone)
         waiting = socket.create_connection(("127.0.0.1", town.service.port))  # connected, not yet accepted
         held = []
         try:
