--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -289,7 +289,7 @@
         self.most = min(sockets // 3, int(settings.get("policyLimits.openCap", sockets)))
         self.waiting: dict[str, Job] = {}
         self.none_waiting = asyncio.Event()
-        self.stopping = self.stopped = False
+        self.leaving = self.stopped = False
         self.server = Front(
             self._serve,
             sockets * 5 // 8,
@@ -334,12 +334,12 @@
 
     # ---------------------------------------------------------------- the end
 
-    def last_connections(self) -> None:
-        """From now on every answer ends its connection."""
-        self.stopping = True
+    def leave(self) -> None:
+        """From now on nobody new is to be sent here; who is connected is served as before."""
+        self.leaving = True
 
     def last_call(self) -> None:
-        """From now on no work item is taken; what waits for one is closed, callbacks still come."""
+        """From now on no work item is taken and every answer ends its connection; callbacks still come."""
         self.stopped = True
         self.server.close_idle()
         self._tell_waiting()
@@ -372,7 +372,7 @@
             response = await self._route(request)
         finally:
             connection.rest()
-        if self.stopping:
+        if self.stopped:
             response.force_close()
         return response
 
@@ -380,7 +380,7 @@
         target = request.raw_path
         path = target.partition("?")[0]
         if path == "/_health":
-            return web.Response(status=200 if self.core.can_serve() and not self.stopping else 503)
+            return web.Response(status=200 if self.core.can_serve() and not self.leaving else 503)
         try:
             if path == callbacks.PATH and request.method == "POST":
                 return self.callbacks.take(await self._body(request))
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -21,7 +21,11 @@
 STILL_COMING_S = 0.5
 # SIGKILL comes no sooner than the longest expiry, of which 3 s count, and 0.7 s after SIGTERM. What is not
 # answered by then is written off a little before, so that its client hears of it.
-LONGEST_S, SPARE_S, BEFORE_S = 3.0, 0.7, 0.4
+LONGEST_S, SPARE_S, BEFORE_S = 3.0, 0.7, 0.2
+# Who has a connection may have nowhere else to go: where dispatchers are restarted one after the other, the
+# next is told to end before the last is back. So they are served until this much is left, in which most work
+# items taken last still finish.
+FINISH_S = 1.3
 
 
 class Service:
@@ -86,15 +90,17 @@
             self.ended.set()
 
     async def finish(self) -> None:
-        """What SIGTERM asks: take what still comes, answer all that was taken, then take no more."""
+        """What SIGTERM asks: go on for a while, then take no more and answer what was taken."""
         told = config.categories_of(self.start_with.settings, "expiryMs")
         expiries = [ms / 1000.0 for ms in told if ms is not None]
         longest = min(LONGEST_S, max(expiries, default=LONGEST_S))
-        self.clients.last_connections()
-        await asyncio.sleep(STILL_COMING_S)
+        left = longest + SPARE_S - BEFORE_S
+        serving = max(STILL_COMING_S, left - FINISH_S)
+        self.clients.leave()
+        await asyncio.sleep(serving)
         self.clients.last_call()
         try:
-            async with asyncio.timeout(longest + SPARE_S - BEFORE_S - STILL_COMING_S):
+            async with asyncio.timeout(left - serving):
                 await self.clients.none_waiting.wait()
         except TimeoutError:
             log.say("service", f"{len(self.clients.waiting)} work items were written off at the end")
