--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -102,7 +102,7 @@
     away here, which costs neither a task nor a parser, and nothing of it can reach a worker.
     """
 
-    __slots__ = ("front", "transport", "handler", "raw", "head", "length", "busy", "timer")
+    __slots__ = ("front", "transport", "handler", "raw", "head", "length", "busy", "known", "timer")
 
     def __init__(self, front: Front) -> None:
         self.front = front
@@ -111,6 +111,7 @@
         self.raw = bytearray()
         self.head = self.length = 0
         self.busy = False
+        self.known = False  # whether it has brought a work item or a callback
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -137,7 +138,6 @@
             return
         if self.timer is None:
             self.timer = self.front.loop.call_later(WHOLE_S, self._late)
-            self.front.idle.pop(self, None)
         self.raw += data
         try:
             # Clients send one request at a time: what comes behind one belongs to none.
@@ -178,7 +178,7 @@
         self.head = self.length = 0
         self.busy = True
         self._stop_timer()
-        self.front.strangers.pop(self, None)
+        self.front.taken(self)
         if self.handler is None:
             self.handler = self.front()
             self.handler.connection_made(self.transport)
@@ -188,7 +188,7 @@
         """The request in hand has its answer."""
         self.busy = False
         if not self.transport.is_closing():
-            self.front.idle[self] = self.front.loop.time()
+            self.front.rests(self)
 
     def refuse(self, status: int, reason: str) -> None:
         """Turn away what came, and whatever else comes over this connection."""
@@ -227,8 +227,8 @@
         self.limit = limit
         self.counters = counters
         self.everyone: set[Connection] = set()
-        # Since when those are there that have not sent a whole request yet, and since when the others have
-        # been idle; the longest first.
+        # Without a request in hand, and since when, the longest first: those that have brought neither a work
+        # item nor a callback yet, and those that have.
         self.strangers: dict[Connection, float] = {}
         self.idle: dict[Connection, float] = {}
 
@@ -242,19 +242,27 @@
             self.counters["connections without room"] += 1
             connection.transport.abort()
         self.everyone.add(connection)
-        self.strangers[connection] = self.loop.time()
+        self.rests(connection)
+
+    def rests(self, connection: Connection) -> None:
+        """A connection has no request in hand."""
+        (self.idle if connection.known else self.strangers)[connection] = self.loop.time()
+
+    def taken(self, connection: Connection) -> None:
+        """A whole request has come over a connection."""
+        self.strangers.pop(connection, None)
+        self.idle.pop(connection, None)
 
     def left(self, connection: Connection) -> None:
         """The one place where a connection is forgotten."""
         self.everyone.discard(connection)
-        self.strangers.pop(connection, None)
-        self.idle.pop(connection, None)
+        self.taken(connection)
 
     def make_room(self) -> bool:
-        """Close the one that has kept silent the longest since it came, else the one idle the longest.
+        """Close the stranger that has been silent the longest, else the one idle the longest.
 
         Clients send with connecting, and what has come is read before the next connection is taken: the
-        oldest of many that have sent nothing has nothing to say.
+        oldest of many that have brought nothing has nothing to bring. Some ask for our health and stay.
         """
         now = self.loop.time()
         for some, least in ((self.strangers, 0.0), (self.idle, IDLE_S)):
@@ -369,21 +377,23 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol.transport.get_protocol()
         try:
-            response = await self._route(request)
+            response = await self._route(request, connection)
         finally:
             connection.rest()
         if self.stopped:
             response.force_close()
         return response
 
-    async def _route(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _route(self, request: web.BaseRequest, connection: Connection) -> web.StreamResponse:
         target = request.raw_path
         path = target.partition("?")[0]
         if path == "/_health":
             return web.Response(status=200 if self.core.can_serve() and not self.leaving else 503)
         try:
             if path == callbacks.PATH and request.method == "POST":
-                return self.callbacks.take(await self._body(request))
+                response = self.callbacks.take(await self._body(request))
+                connection.known = True
+                return response
             if request.method != "POST":
                 raise MalformedError(405, "work items come by POST")
             job = await self._read(request, target, path)
@@ -402,6 +412,7 @@
             response = web.Response(status=503)
             response.force_close()
             return response
+        connection.known = True
         return await self._answer(job)
 
     async def _body(self, request: web.BaseRequest) -> bytes:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -218,7 +218,12 @@
         kept, kept_writer = await town.connect()
         kept_writer.write(request("/look/1"))
         await until(lambda: town.workers[0].seen)
-        flood = [await town.connect() for _ in range(60)]
+        flood = []
+        for number in range(60):  # some say nothing, some ask for our health and stay
+            flood.append(await town.connect())
+            if number % 2:
+                flood[-1][1].write(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+                assert (await read_call(flood[-1][0])).target == "200"
         told = await asyncio.gather(*[town.say(request("/odd/1", wi=f"o{n}")) for n in range(60)])
         assert {call.target for call in told} == {"404"}
         assert len(town.clients.server.everyone) <= town.clients.server.limit == 20
