What broke is replaced without credit, a dropped or silent kept connection sickens no worker

At fault: brain._cost charged a hand-off that replaces a broken one like a copy beside it; workers._meaning told a reset of a kept connection like one of a new connection, so each took the worker out for 0.5 s and more; workers._send had no limit short of the item's own before the 202; any 4xx was an error of the worker.

Changed: no credit is asked where the last hand-off broke (cut, dropped, not connected, not sent); five hand-offs an item stay the limit. New results: `dropped` (a kept connection broke: may have run, nobody is sick) and `unfit` (400, 413, 414, 431: written off at once, nobody is sick). With neither 202 nor callback after 0.5 s the worker is told by DELETE and the hand-off ends as cut, or dropped if the connection was kept.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -30,6 +30,7 @@
     CHANGES,
     CUT,
     DISK_LIST,
+    DROPPED,
     ERRED,
     EXCLUSIVE,
     FINISHED,
@@ -38,10 +39,12 @@
     LIST_ERROR,
     NEVER_RAN,
     NOT_CONNECTED,
+    NOT_SENT,
     READY,
     RERUNNABLE,
     TICKETED,
     TIMED_OUT,
+    UNFIT,
     Alarm,
     Arrived,
     Began,
@@ -372,6 +375,10 @@
         self._judge(item, tried, event)
         if event.over and not item.over:
             self._close(item, event.result == FINISHED)
+        elif event.result == UNFIT and not item.over:
+            # No worker can use it, and the client that sent it need not come again with the same.
+            self.commands.append(WriteOff(item.wi))
+            self._close(item)
         if item.over:
             if item.out == 0:
                 self.items.pop(event.wi, None)
@@ -463,7 +470,13 @@
                 return
 
     def _cost(self, item: Item) -> float:
-        """What a further hand-off takes off the credit: its work, against that of a mean work item."""
+        """What a further hand-off takes off the credit: its work, against that of a mean work item.
+
+        Nothing where the last one broke: this one goes out in its place, not beside it. Paid from a credit
+        that grows with the traffic, a span of broken connections would leave most of what it hit unanswered.
+        """
+        if item.tried[-1].result in (CUT, DROPPED, NOT_CONNECTED, NOT_SENT):
+            return 0.0
         return item.work * item.slots / self.mean_work
 
     def _affords(self, item: Item) -> bool:
@@ -975,31 +988,10 @@
         for texts in (self.zone_of, self.cell_of, self.kind_of, self.state):
             texts.append("")
         for numbers in (
-            self.units,
-            self.since,
-            self.share,
-            self.turn_at,
-            self.rate,
-            self.heard,
-            self.queue,
-            self.fulls,
-            self.own,
-            self.own_mean,
-            self.others,
-            self.busy,
-            self.run_seen,
-            self.run_due,
-            self.linked,
-            self.part,
-            self.part_until,
-            self.trouble,
-            self.out_until,
-            self.out_step,
-            self.full_until,
-            self.running,
-            self.running_mean,
-            self.wait_seen,
-            self.slots,
+            *(self.units, self.since, self.share, self.turn_at, self.rate, self.heard, self.queue),
+            *(self.fulls, self.own, self.own_mean, self.others, self.busy, self.run_seen, self.run_due),
+            *(self.linked, self.part, self.part_until, self.trouble, self.out_until, self.out_step, self.full_until),
+            *(self.running, self.running_mean, self.wait_seen, self.slots),
         ):
             numbers.append(0.0)
         self.sent_cold.append(deque())
--- a/dunepulley/interface.py
+++ b/dunepulley/interface.py
@@ -16,6 +16,10 @@
 TIMED_OUT = "timed out"
 NOT_CONNECTED = "not connected"
 CUT = "cut"
+# A kept connection broke under the hand-off: it may have run, but of the worker's health that says nothing.
+DROPPED = "dropped"
+# The worker could not read it, and no other will: of the worker's health that says nothing either.
+UNFIT = "unfit"
 TAKEN_BACK = "taken back"
 NOT_SENT = "not sent"
 NEVER_RAN = frozenset((FULL, NOT_CONNECTED, NOT_SENT))
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -55,11 +55,12 @@
 class Ho:
     """One hand-off on its way.
 
-    `touched` once writing has begun, `written` once its last byte has left, `stopped` once it is given up.
+    `kept` if it went over a connection that was at hand, `touched` once writing has begun, `written` once its
+    last byte has left, `heard` once the worker has told of it, `stopped` once it is given up.
     """
 
     __slots__ = ("job", "number", "worker", "address", "limit", "sent")
-    __slots__ += ("touched", "written", "stopped", "result", "timer")
+    __slots__ += ("kept", "touched", "written", "heard", "stopped", "result", "timer")
 
     def __init__(self, job: Job, number: int, worker: str, address: str, limit: float, sent: float) -> None:
         self.job = job
@@ -68,7 +69,7 @@
         self.address = address
         self.limit = limit
         self.sent = sent
-        self.touched = self.written = self.stopped = False
+        self.kept = self.touched = self.written = self.heard = self.stopped = False
         self.result = ""
         self.timer: asyncio.TimerHandle | None = None
 
@@ -254,6 +255,7 @@
         if ho is None or ho.result:
             self.counters["callbacks stray"] += 1
             return
+        ho.heard = True
         state = message.state
         if state in ("started", "running"):
             self.events.append(face.Began(message.wi, ho.number, message.share))
--- a/dunepulley/net/workers.py
+++ b/dunepulley/net/workers.py
@@ -29,6 +29,11 @@
 # Ten times the longest way there and back: a worker that leaves a DELETE or a probe unanswered for this long
 # is down or cut off.
 SILENT_S = 1.0
+# A worker answers a hand-off when it has taken it, not when it has run it. Where neither that nor a callback
+# has come after this, the connection has fallen silent: waiting on would cost the work item its time.
+UNANSWERED_S = 0.5
+# What no worker can read: the fault of what was sent.
+UNREADABLE = (400, 413, 414, 431)
 # Headers that the library would add by itself.
 QUIET = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -79,6 +84,9 @@
     ) -> None:
         self.put = put
         self.counters = counters
+        # Whether an exchange went over a kept connection: what breaks it says less then.
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_reuseconn.append(self._kept)
         idle = settings.get("policyLimits.connIdleMs", 15000.0) / 1000.0
         self.connect_s = settings.get("policyLimits.connectTimeoutMs", 1000.0) / 1000.0
         self.has_reports = settings.get("reporting.how", "none") != "none"
@@ -96,11 +104,17 @@
             timeout=aiohttp.ClientTimeout(total=None, connect=self.connect_s),
             skip_auto_headers=QUIET,
             trust_env=False,
+            trace_configs=[trace],
         )
         # A library that sends a second time by itself would make a second copy.
         self.session._retry_connection = False
         self.tasks: dict[Any, asyncio.Task] = {}
 
+    @staticmethod
+    async def _kept(session: aiohttp.ClientSession, context: Any, params: object) -> None:
+        if isinstance(context.trace_request_ctx, Ho):
+            context.trace_request_ctx.kept = True
+
     def _start(self, name: Any, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self.tasks[name] = task
@@ -138,9 +152,16 @@
         try:
             # Waiting for one of the connections counts as connecting: a hand-off that waited longer would go
             # to a worker that may long have been told to drain.
-            limit = aiohttp.ClientTimeout(total=ho.limit / 1000.0 + 1.0, connect=self.connect_s)
+            limit = aiohttp.ClientTimeout(
+                total=ho.limit / 1000.0 + 1.0, connect=self.connect_s, sock_read=UNANSWERED_S
+            )
             async with self.session.post(
-                url, data=Body(ho), headers=headers, allow_redirects=False, timeout=limit
+                url,
+                data=Body(ho),
+                headers=headers,
+                allow_redirects=False,
+                timeout=limit,
+                trace_request_ctx=ho,
             ) as answer:
                 if answer.status == 202:
                     # What becomes of it comes by callback, even if the connection breaks in this moment.
@@ -149,12 +170,18 @@
                 await answer.read()
                 report = words.report_of_text(answer.headers.get("X-Load-Report"), "=")
                 full = answer.status in (503, 504) and answer.headers.get("X-Rejected") == "1"
-                result = face.FULL if full else face.ERRED
+                result = face.FULL if full else face.UNFIT if answer.status in UNREADABLE else face.ERRED
                 if answer.status not in (202, 500, 503, 504):
                     log.say("worker", f"{ho.worker} answered {answer.status}")
+        except aiohttp.SocketTimeoutError:
+            self.counters["ho unanswered"] += 1
+            accepted = True
+            if not ho.heard:
+                # The worker may have taken it all the same: it is told before the item goes anywhere else.
+                await self._delete(ho, face.DROPPED if ho.kept else face.CUT)
         except (aiohttp.ClientError, OSError) as problem:
             result = self._meaning(ho, problem)
-            if result is face.NOT_SENT:
+            if result is face.NOT_SENT and not ho.kept:
                 await asyncio.sleep(LACKING_S)
         if not accepted:
             self.put(Over(ho, result, report))
@@ -167,7 +194,10 @@
             return face.NOT_SENT
         if isinstance(problem, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError):
             return face.NOT_CONNECTED
-        # Broken before the last byte was written it cannot have run, after that it may have.
+        # Broken before the last byte was written it cannot have run, after that it may have. Under a kept
+        # connection that is no sign of a sick worker: it, or what is in between, may close those at any time.
+        if ho.kept:
+            return face.DROPPED if ho.written else face.NOT_SENT
         return face.CUT if ho.written else face.NOT_CONNECTED
 
     def give_up(self, ho: Ho, tell: bool) -> None:
@@ -182,7 +212,7 @@
             # Also before the 202 is read: it may be on its way, and then closing takes nothing back.
             self._start(("delete", ho), self._delete(ho))
 
-    async def _delete(self, ho: Ho) -> None:
+    async def _delete(self, ho: Ho, result: str = face.TAKEN_BACK) -> None:
         url = url_of(ho.address, f"/jobs/{ho.job.arrived.wi}")
         try:
             async with asyncio.timeout(SILENT_S), self.session.delete(url, allow_redirects=False) as answer:
@@ -192,7 +222,7 @@
             # Nobody there to be told; a silent worker has had its time.
             self.counters["delete unheard"] += 1
         finally:
-            self.put(Over(ho, face.TAKEN_BACK))
+            self.put(Over(ho, result))
 
     # ---------------------------------------------------------------- probes
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,13 +8,16 @@
     CHANGES,
     CUT,
     DISK_LIST,
+    DROPPED,
     ERRED,
     FINISHED,
     FULL,
     FULL_LIST,
     LIST_ERROR,
     NOT_CONNECTED,
+    NOT_SENT,
     TAKEN_BACK,
+    UNFIT,
     Alarm,
     Arrived,
     Began,
@@ -364,3 +367,25 @@
             todo += of(HandOff, rig.feed(Ended(first.wi, ho, FULL, first.worker, 1.0, False, figures)))
     # The first finds all four full; others are tried within the ten seconds.
     assert sent[:4] == [0] * 4 and len(sent) >= 8
+
+
+@pytest.mark.parametrize(
+    ("result", "again", "sick"),
+    [(CUT, 1, True), (DROPPED, 1, False), (NOT_CONNECTED, 1, True), (NOT_SENT, 1, False), (ERRED, 0, False)],
+)
+def test_what_broke_goes_out_once_more_without_credit(result, again, sick):
+    rig = Rig()
+    (sent,) = of(HandOff, rig.feed(Arrived("a", "store", 4000.0)))
+    rig.brain.credit = 0.0
+    commands = rig.feed(Ended("a", 0, result, sent.worker, 1.0), after=1.0)
+    assert len(of(HandOff, commands)) == again and len(of(WriteOff, commands)) == 1 - again
+    assert (rig.brain.out_until[rig.brain.index[sent.worker]] > rig.now) is sick
+
+
+def test_what_no_worker_can_read_is_written_off_at_once_and_makes_none_sick():
+    rig = Rig()
+    for number in range(8):
+        (sent,) = of(HandOff, rig.feed(Arrived(str(number), "look", 4000.0)))
+        commands = rig.feed(Ended(str(number), 0, UNFIT, sent.worker, 1.0), after=1.0)
+        assert of(WriteOff, commands) and not of(HandOff, commands)
+    assert not any(rig.brain.trouble) and not any(rig.brain.out_until) and not rig.brain.items
