--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -990,8 +990,8 @@
         for numbers in (
             *(self.units, self.since, self.share, self.turn_at, self.rate, self.heard, self.queue),
             *(self.fulls, self.own, self.own_mean, self.others, self.busy, self.run_seen, self.run_due),
-            *(self.linked, self.part, self.part_until, self.trouble, self.out_until, self.out_step, self.full_until),
-            *(self.running, self.running_mean, self.wait_seen, self.slots),
+            *(self.linked, self.part, self.part_until, self.trouble, self.out_until, self.out_step),
+            *(self.full_until, self.running, self.running_mean, self.wait_seen, self.slots),
         ):
             numbers.append(0.0)
         self.sent_cold.append(deque())
