--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -688,8 +688,7 @@
     def _next_of(self, among: list[int], item: Item, besides: int) -> int:
         """The next worker in turn that has room for the work item, or -1.
 
-        One that has room only by half a slot of doubt, or is known to be so slow that the item would end late
-        there, has its turn if no other has room.
+        One that has room only by half a slot of doubt has its turn if none clearly has.
         """
         sure, sure_at, far, far_at, best, best_at = -1, NEVER, -1, NEVER, -1, NEVER
         # Own zone first unsettles the turns, so only where a crossing costs a point in 100 or more, and where
@@ -701,7 +700,7 @@
                 continue
             slots = self.slots[i]
             room = slots - self.own[i] - self.others[i] - (item.slots if item.slots < slots else slots)
-            if room >= 0.0 and self.now + item.work * self._slowness(i) <= item.due:
+            if room >= 0.0:
                 if self._able(item, i):
                     if not near or self.zone_of[i] == self.zone:
                         sure, sure_at = i, at
