--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -94,7 +94,8 @@
         kinds = listed(settings.get("familyInfo.classKind"))
         self.due = said("dueTimeMs", 1000.0)
         self.expiry = said("expiryMs", 8.0 * self.due)
-        self.fresh = 0.0  # the longest budget seen
+        # The budget that clients give a first try, and whether the last two were alike.
+        self.fresh, self.steady = 0.0, True
         self.stretch = said("aimStretch", stretches[number] if number < len(stretches) else 0.0)
         self.payoff = said("payoff", 1.0)
         # A category whose effect is not told, or a group that we don't know, must never run twice.
@@ -183,6 +184,7 @@
         self.copies = bool(say("policyLimits.secondCopies", False))
         self.can_take_back = bool(say("policyLimits.cancel", False))
         self.can_probe = bool(say("policyLimits.probing", False))
+        self.marks_repeats = bool(say("clients.marksRetry", False))
         self.tells_start = bool(say("familyInfo.tellsStart", False))
         self.tells_queue = "queue" in listed(say("reporting.fields"))
         # Each work item that comes in earns every tenant its share of one; what it sends beyond is excess.
@@ -297,10 +299,18 @@
         item.work = event.hint or category.mean_run()
         self.mean_work += 0.02 * (item.work * item.slots - self.mean_work)
         item.expiry = self.now + event.budget
-        # A budget under the longest seen is what earlier tries of the client have left of it. The expiry in
-        # the settings won't do: clients may give each try only a part of it.
-        category.fresh = max(category.fresh, event.budget)
-        arrived = item.expiry - category.fresh
+        # What a repeat's budget lacks of a first try's is what earlier tries have taken of it. The expiry in
+        # the settings won't do: clients may give each try only a part of it. Nor is every short budget a
+        # repeat's: impatient clients give each item its own, and all of them would be deferred as late.
+        arrived = self.now
+        if self.marks_repeats and not event.repeat:
+            category.steady = abs(event.budget - category.fresh) < 0.02 * event.budget
+            category.fresh = event.budget
+        else:
+            # Where repeats are not marked, ten short ones in a row are no repeats any more.
+            category.fresh = max(category.fresh + 0.1 * (event.budget - category.fresh), event.budget)
+            if category.steady:
+                arrived = item.expiry - category.fresh
         # Without a hint take half the mean: running times have long tails, so most are far shorter.
         likely = event.hint or 0.5 * item.work
         item.due = min(arrived + category.due + category.stretch * likely, item.expiry)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -389,3 +389,24 @@
         commands = rig.feed(Ended(str(number), 0, UNFIT, sent.worker, 1.0), after=1.0)
         assert of(WriteOff, commands) and not of(HandOff, commands)
     assert not any(rig.brain.trouble) and not any(rig.brain.out_until) and not rig.brain.items
+
+
+@pytest.mark.parametrize("marks", [True, False])
+@pytest.mark.parametrize(
+    ("before", "budget", "repeat", "in_time"),
+    [
+        ([4000.0] * 20, 4000.0, False, True),
+        ([4000.0] * 20, 2000.0, True, False),  # two seconds are gone, and it was due after half of one
+        ([4000.0] * 20, 3900.0, True, True),
+        ([4000.0, *[900.0, 300.0, 700.0] * 10], 600.0, False, True),  # clients that have grown impatient
+        ([4000.0, *[900.0, 300.0, 700.0] * 10], 700.0, True, True),
+    ],
+)
+def test_only_a_repeat_has_spent_some_of_its_budget(marks, before, budget, repeat, in_time):
+    rig = Rig(clients__marksRetry=marks)
+    for number, ms in enumerate(before):
+        (sent,) = of(HandOff, rig.feed(Arrived(str(number), "look", ms), after=1.0)) or [None]
+        if sent:
+            rig.feed(Ended(str(number), 0, FINISHED, sent.worker, 1.0, True), after=1.0)
+    commands = rig.feed(Arrived("a", "look", budget, repeat=marks and repeat))
+    assert bool(of(HandOff, commands)) is in_time and bool(of(Defer, commands)) is not in_time
