--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -185,6 +185,7 @@
         self.can_take_back = bool(say("policyLimits.cancel", False))
         self.can_probe = bool(say("policyLimits.probing", False))
         self.marks_repeats = bool(say("clients.marksRetry", False))
+        self.asks_left_out = self.can_probe and say("reporting.how", "none") == "answers"
         self.tells_start = bool(say("familyInfo.tellsStart", False))
         self.tells_queue = "queue" in listed(say("reporting.fields"))
         # Each work item that comes in earns every tenant its share of one; what it sends beyond is excess.
@@ -201,34 +202,20 @@
         self.cell_of: list[str] = []
         self.kind_of: list[str] = []
         self.state: list[str] = []
-        self.units: list[float] = []
-        self.since: list[float] = []
-        self.share: list[float] = []
-        self.turn_at: list[float] = []
-        self.rate: list[float] = []
-        self.heard: list[float] = []
-        self.queue: list[float] = []
-        self.fulls: list[int] = []
-        self.own: list[float] = []
-        self.own_mean: list[float] = []
-        self.others: list[float] = []
-        self.busy: list[float] = []
-        self.run_seen: list[float] = []
-        self.run_due: list[float] = []
-        self.linked: list[float] = []
+        # Their figures, in parallel arrays: what the list says and the share and turn that follow, ...
+        (self.units, self.since, self.share, self.turn_at, *rest) = self.figures = [[] for _ in range(26)]
+        # ... what was reported and when, or asked for, ...
+        (self.rate, self.heard, self.queue, self.busy, self.others, self.slots, self.asked_at, *rest) = rest
+        # ... what this dispatcher has there, how it runs and how long it waited, ...
+        (self.own, self.own_mean, self.running, self.running_mean, self.run_seen, self.run_due, *rest) = rest
+        (self.wait_seen, self.linked, self.fulls, self.full_until, *rest) = rest
+        # ... and until when it is sick, or cold, and its part of the budget then.
+        (self.trouble, self.out_until, self.out_step, self.part, self.part_until) = rest
         # The quickest start to each zone, over a connection at hand and over a new one.
         self.start_ms: dict[tuple[str, bool], float] = {}
-        self.trouble: list[float] = []
-        self.out_until: list[float] = []
-        self.out_step: list[float] = []
-        self.full_until: list[float] = []
-        self.running: list[float] = []
-        self.running_mean: list[float] = []
-        self.wait_seen: list[float] = []
         self.sent_cold: list[deque] = []
         self.last_report: list[dict[str, float] | None] = []
         self.kind_slots: dict[str, float] = {}
-        self.slots: list[float] = []
         self.cold = say("rules.coldMs", 0.0)
         self.turn_now = 0.0
         # The workers in use, and the others.
@@ -236,8 +223,6 @@
         self.spare: list[int] = []
         self.rank: list[float] = []
         self.first_turn: list[int] = []
-        self.part: list[float] = []
-        self.part_until: list[float] = []
         self.want_used = 0.0
         self.seen_arrived = 0
         self.credit = 1.0
@@ -810,7 +795,9 @@
             # The report is some way behind: compare it with what this dispatcher had there lately.
             # A single look tells little, as work items come and go between two: three tenths of it count,
             # more where the last is over 2 s old. In 4 s most of what was known has faded to the mean of all.
-            weight = max(0.3, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
+            # Where it was asked for, nothing of ours was there to blur the look: seven tenths.
+            least = 0.7 if self.asked_at[i] > self.heard[i] else 0.3
+            weight = max(least, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
             # Where no queue is told, only what runs can be compared.
             ours = self.own_mean[i] if self.queue[i] >= 0.0 or not self.tells_start else self.running_mean[i]
             self.others[i] += weight * (used - ours - self.others[i])
@@ -839,6 +826,16 @@
             self.own_mean[i] += quick * (self.own[i] - self.own_mean[i])
             self.running_mean[i] += quick * (self.running[i] - self.running_mean[i])
             self.wait_seen[i] *= 1.0 - slow
+            if (
+                self.asks_left_out
+                and not self.own[i]
+                and self.others[i] > self.slots[i] - 1.0
+                and self.now - max(self.heard[i], self.asked_at[i]) > 1000.0
+            ):
+                # It is held to be full, so it gets nothing, so no answer says otherwise: ask, about as often
+                # as a report is refreshed. What is believed of it fades too slowly to end this in time.
+                self.asked_at[i] = self.now
+                self.commands.append(Probe(self.name[i]))
             if self.now - self.heard[i] > FADE:
                 self.others[i] += slow * (mean * self.slots[i] - self.others[i])
         self.freed = True
@@ -997,12 +994,7 @@
         self.name.append(entry.worker)
         for texts in (self.zone_of, self.cell_of, self.kind_of, self.state):
             texts.append("")
-        for numbers in (
-            *(self.units, self.since, self.share, self.turn_at, self.rate, self.heard, self.queue),
-            *(self.fulls, self.own, self.own_mean, self.others, self.busy, self.run_seen, self.run_due),
-            *(self.linked, self.part, self.part_until, self.trouble, self.out_until, self.out_step),
-            *(self.full_until, self.running, self.running_mean, self.wait_seen, self.slots),
-        ):
+        for numbers in self.figures:
             numbers.append(0.0)
         self.sent_cold.append(deque())
         self.first_turn.append(int(rank_of("", entry.worker) * self.dispatchers))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -27,6 +27,7 @@
     HandOff,
     ListNews,
     Probe,
+    Probed,
     TakeBack,
     WriteOff,
 )
@@ -410,3 +411,18 @@
             rig.feed(Ended(str(number), 0, FINISHED, sent.worker, 1.0, True), after=1.0)
     commands = rig.feed(Arrived("a", "look", budget, repeat=marks and repeat))
     assert bool(of(HandOff, commands)) is in_time and bool(of(Defer, commands)) is not in_time
+
+
+@pytest.mark.parametrize(("how", "asked"), [("answers", True), ("none", False)])
+def test_a_worker_held_to_be_full_is_asked_now_and_then(how, asked):
+    told = {"reporting__how": how, "reporting__fields": ("x0",), "policyLimits__probing": True}
+    rig = Rig(workers=1, **told)
+    rig.brain.kind_slots["box"] = rig.brain.slots[0] = 4.0
+    rig.feed(Arrived("a", "look", 4000.0))
+    rig.feed(Ended("a", 0, FULL, "w0"), after=10.0)  # a queue stands there, of which no more is heard
+    probes = sum([len(of(Probe, rig.feed(Alarm(0), after=50.0))) for _ in range(60)])
+    assert probes == (2 if asked else 0)  # in three seconds, from a second after the last news on
+    if asked:
+        for used in (3.0, 4.0):
+            rig.feed(Probed("w0", FINISHED, 1.0, report(1.0, used)), after=1100.0)
+        assert of(HandOff, rig.feed(Arrived("b", "look", 4000.0)))
