--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -105,8 +105,6 @@
             self.effect = EXCLUSIVE
         self.window = said("windowMs", 0.0)
         self.kind = int(kinds[number]) if number < len(kinds) else -1
-        # The payoff asked for, and of that what came in time; about the last hundred items count.
-        self.wanted, self.gained = 0.0, 0.0
         # The mean running time, until it is known: an eighth of the expiry, which is several times the work.
         self.run_sum, self.run_count = self.expiry / 8, 1.0
 
@@ -227,7 +225,6 @@
         self.first_turn: list[int] = []
         self.want_used = 0.0
         self.seen_arrived = 0
-        self.worst, self.worst_counts = None, 1.0
         self.credit = 1.0
         self.further_success = 0.5
         self.arrived = 0
@@ -304,12 +301,6 @@
         item.due = min(arrived + category.due + category.stretch * likely, item.expiry)
         item.latest = item.due - likely
         item.value = category.payoff if self.by_work else category.payoff / item.work
-        item.gain = category.payoff * (item.work * item.slots if self.by_work else 1.0)
-        if not event.repeat:
-            category.wanted = 0.99 * category.wanted + item.gain
-            category.gained *= 0.99
-        if category is self.worst:
-            item.value *= self.worst_counts
         item.excess = self._is_excess(event.tenant)
         if item.excess:
             item.value *= self.settings.get("overagePayoff", 1.0)
@@ -317,16 +308,6 @@
         item.course = self._course(item)
         self._drive(item, None)
 
-    def _find_worst(self) -> None:
-        """The category that has gained the least of what it wanted, and how much more its payoff counts."""
-        asked = [category for category in self.categories.values() if category.wanted > 0.0]
-        self.worst = min(asked, key=lambda category: category.gained / category.wanted, default=None)
-        if self.worst:
-            # The goal counts it twice: in the whole, and once more by itself, where it may be a small part.
-            part = self.worst.wanted / sum([category.wanted for category in asked])
-            whole = 1.0 - self.settings.get("goal.worstClass", 0.0)
-            self.worst_counts = 1.0 + self.settings.get("goal.worstClass", 0.0) / (max(0.01, whole * part))
-
     def _is_excess(self, tenant: str) -> bool:
         """Whether a tenant's work item goes beyond its share of what has come in of late."""
         earned = self.earned
@@ -387,8 +368,6 @@
         self.linked[i] = self.now + self.settings.get("policyLimits.connIdleMs", 0.0)
         self.freed = True
         self._judge(item, tried, event)
-        if event.over and not item.over and self.now <= item.due:
-            item.category.gained += item.gain
         if event.over and not item.over:
             self._close(item, event.result == FINISHED)
         elif event.result == UNFIT and not item.over:
@@ -906,7 +885,6 @@
         self.seen_arrived = self.arrived
         self.want_used = max(came, self.want_used + 0.1 * (came - self.want_used))
         self._choose_used()
-        self._find_worst()
         if not ready:
             return
         if self.can_probe and self.settings.get("reporting.how") == "probe":
