--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -986,10 +986,6 @@
         self.slots[i] = self.kind_slots.get(entry.kind, 1.0)
         self.units[i] = entry.units if entry.units > 0.0 else 1.0
         self.since[i] = entry.since
-        if not known:
-            # All dispatchers find a new worker empty at the same time, and what each sends is load that the
-            # others can't see yet: count on them to fill their part of all slots but the first.
-            self.others[i] = (self.slots[i] - 1.0) * (1.0 - 1.0 / self.dispatchers)
         return -1 if known else i
 
     def _new_worker(self, entry: Entry) -> int:
