Taking back is told a second time if its connection breaks or is silent under it

At fault: workers._delete tried once. Now twice, half a second each, so the longest wait is as before. Test: the connection is cut, closed or silent under the first; the second arrives.

--- a/dunepulley/net/workers.py
+++ b/dunepulley/net/workers.py
@@ -215,12 +215,19 @@
     async def _delete(self, ho: Ho, result: str = face.TAKEN_BACK) -> None:
         url = url_of(ho.address, f"/jobs/{ho.job.arrived.wi}")
         try:
-            async with asyncio.timeout(SILENT_S), self.session.delete(url, allow_redirects=False) as answer:
-                await answer.read()
-                self.counters[f"delete {answer.status}"] += 1
-        except (aiohttp.ClientError, OSError):
-            # Nobody there to be told; a silent worker has had its time.
-            self.counters["delete unheard"] += 1
+            # Twice, as a kept connection may break or be silent under it: unheard, what was taken back would
+            # run on beside the hand-off that takes its place. After that nobody is there to be told.
+            for _ in range(2):
+                try:
+                    async with (
+                        asyncio.timeout(SILENT_S / 2),
+                        self.session.delete(url, allow_redirects=False) as answer,
+                    ):
+                        await answer.read()
+                        self.counters[f"delete {answer.status}"] += 1
+                        return
+                except (aiohttp.ClientError, OSError):
+                    self.counters["delete unheard"] += 1
         finally:
             self.put(Over(ho, result))
 
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -212,6 +212,23 @@
         assert [call.connection for call in peer.seen] == [1, 2]
 
 
+@pytest.mark.parametrize("reply", [CUT, CLOSE, SILENT])
+@on_loop
+async def test_taking_back_is_told_again_if_the_connection_breaks_under_it(reply):
+    def say(call):
+        if call.method == "POST":
+            return TAKEN
+        return answer(204) if call.connection > 1 else reply
+
+    async with Peer(say) as peer, Sender() as sender:
+        ho = sender.send(peer.address)
+        await sender.accepted()
+        sender.workers.give_up(ho, tell=True)
+        assert await sender.over() == face.TAKEN_BACK
+        assert [call.method for call in peer.seen] == ["POST", "DELETE", "DELETE"]
+        assert sender.counters["delete 204"] == 1 and len(sender.told) == 1
+
+
 @on_loop
 async def test_a_connection_that_breaks_after_the_202_takes_nothing_back():
     async def partly():
