--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -94,8 +94,8 @@
         kinds = listed(settings.get("familyInfo.classKind"))
         self.due = said("dueTimeMs", 1000.0)
         self.expiry = said("expiryMs", 8.0 * self.due)
-        # The budget that clients give a first try, and whether the last two were alike.
-        self.fresh, self.steady = 0.0, True
+        # The budget that clients give a first try, and the part of the last five or so that were given it.
+        self.fresh, self.steady = 0.0, 1.0
         self.stretch = said("aimStretch", stretches[number] if number < len(stretches) else 0.0)
         self.payoff = said("payoff", 1.0)
         # A category whose effect is not told, or a group that we don't know, must never run twice.
@@ -288,14 +288,13 @@
         # the settings won't do: clients may give each try only a part of it. Nor is every short budget a
         # repeat's: impatient clients give each item its own, and all of them would be deferred as late.
         arrived = self.now
-        if self.marks_repeats and not event.repeat:
-            category.steady = abs(event.budget - category.fresh) < 0.02 * event.budget
-            category.fresh = event.budget
-        else:
-            # Where repeats are not marked, ten short ones in a row are no repeats any more.
+        if not event.repeat:
+            # The longest of late; where repeats are not marked, ten short ones in a row are none any more.
             category.fresh = max(category.fresh + 0.1 * (event.budget - category.fresh), event.budget)
-            if category.steady:
-                arrived = item.expiry - category.fresh
+        if self.marks_repeats and not event.repeat:
+            category.steady += 0.2 * ((event.budget > 0.98 * category.fresh) - category.steady)
+        elif category.steady > 0.5:
+            arrived = min(self.now, item.expiry - category.fresh)
         # Without a hint take half the mean: running times have long tails, so most are far shorter.
         likely = event.hint or 0.5 * item.work
         item.due = min(arrived + category.due + category.stretch * likely, item.expiry)
@@ -828,12 +827,14 @@
             self.wait_seen[i] *= 1.0 - slow
             if (
                 self.asks_left_out
+                and self.dispatchers <= len(ready)
                 and not self.own[i]
                 and self.others[i] > self.slots[i] - 1.0
                 and self.now - max(self.heard[i], self.asked_at[i]) > 1000.0
             ):
                 # It is held to be full, so it gets nothing, so no answer says otherwise: ask, about as often
-                # as a report is refreshed. What is believed of it fades too slowly to end this in time.
+                # as a report is refreshed; what is believed of it fades too slowly. Not where dispatchers are
+                # more than workers: all of them would ask, hear of the same free slot and crowd it.
                 self.asked_at[i] = self.now
                 self.commands.append(Probe(self.name[i]))
             if self.now - self.heard[i] > FADE:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -413,10 +413,12 @@
     assert bool(of(HandOff, commands)) is in_time and bool(of(Defer, commands)) is not in_time
 
 
-@pytest.mark.parametrize(("how", "asked"), [("answers", True), ("none", False)])
-def test_a_worker_held_to_be_full_is_asked_now_and_then(how, asked):
+@pytest.mark.parametrize(
+    ("how", "dispatchers", "asked"), [("answers", 1.0, True), ("none", 1.0, False), ("answers", 2.0, False)]
+)
+def test_a_worker_held_to_be_full_is_asked_now_and_then(how, dispatchers, asked):
     told = {"reporting__how": how, "reporting__fields": ("x0",), "policyLimits__probing": True}
-    rig = Rig(workers=1, **told)
+    rig = Rig(workers=1, balancers=dispatchers, **told)
     rig.brain.kind_slots["box"] = rig.brain.slots[0] = 4.0
     rig.feed(Arrived("a", "look", 4000.0))
     rig.feed(Ended("a", 0, FULL, "w0"), after=10.0)  # a queue stands there, of which no more is heard
