After a reading: chunks are walked once, one condition leaves a loop, figures are unpacked once

Behaviour stays. Found in the change: chunks_end began again at the first chunk with every piece that came, so a body of many small chunks cost the more the more slowly it came; it now goes on where it stopped. Whether full workers are asked at all was worked out for each worker four times a second; now once. The arrays of worker figures came from four chained unpackings without types; now one, typed. workers._send called an unanswered hand-off accepted so that nothing more was told; now it returns.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -202,15 +202,20 @@
         self.cell_of: list[str] = []
         self.kind_of: list[str] = []
         self.state: list[str] = []
-        # Their figures, in parallel arrays: what the list says and the share and turn that follow, ...
-        (self.units, self.since, self.share, self.turn_at, *rest) = self.figures = [[] for _ in range(26)]
-        # ... what was reported and when, or asked for, ...
-        (self.rate, self.heard, self.queue, self.busy, self.others, self.slots, self.asked_at, *rest) = rest
-        # ... what this dispatcher has there, how it runs and how long it waited, ...
-        (self.own, self.own_mean, self.running, self.running_mean, self.run_seen, self.run_due, *rest) = rest
-        (self.wait_seen, self.linked, self.fulls, self.full_until, *rest) = rest
-        # ... and until when it is sick, or cold, and its part of the budget then.
-        (self.trouble, self.out_until, self.out_step, self.part, self.part_until) = rest
+        self.figures: list[list[float]] = [[] for _ in range(26)]
+        # fmt: off
+        (
+            # Their figures, in parallel arrays: what the list says and the share and turn that follow, ...
+            self.units, self.since, self.share, self.turn_at,
+            # ... what was reported and when, or asked for, ...
+            self.rate, self.heard, self.queue, self.busy, self.others, self.slots, self.asked_at,
+            # ... what this dispatcher has there, how it runs and how long it waited, ...
+            self.own, self.own_mean, self.running, self.running_mean, self.run_seen, self.run_due,
+            self.wait_seen, self.linked, self.fulls, self.full_until,
+            # ... until when it is sick, or cold, and its part of the budget then.
+            self.trouble, self.out_until, self.out_step, self.part, self.part_until,
+        ) = self.figures
+        # fmt: on
         # The quickest start to each zone, over a connection at hand and over a new one.
         self.start_ms: dict[tuple[str, bool], float] = {}
         self.sent_cold: list[deque] = []
@@ -821,20 +826,20 @@
             # fade to their own mean would hold back every item for ever. After 4 s little is known anyway.
             mean = 0.0
         quick, slow = 1.0 - 0.75**steps, 1.0 - 0.9**steps
+        # Not where dispatchers are more than workers: all would ask, hear of the same free slot and crowd it.
+        asks = self.asks_left_out and self.dispatchers <= len(ready)
         for i in ready:
             self.own_mean[i] += quick * (self.own[i] - self.own_mean[i])
             self.running_mean[i] += quick * (self.running[i] - self.running_mean[i])
             self.wait_seen[i] *= 1.0 - slow
             if (
-                self.asks_left_out
-                and self.dispatchers <= len(ready)
+                asks
                 and not self.own[i]
                 and self.others[i] > self.slots[i] - 1.0
                 and self.now - max(self.heard[i], self.asked_at[i]) > 1000.0
             ):
                 # It is held to be full, so it gets nothing, so no answer says otherwise: ask, about as often
-                # as a report is refreshed; what is believed of it fades too slowly. Not where dispatchers are
-                # more than workers: all of them would ask, hear of the same free slot and crowd it.
+                # as a report is refreshed; what is believed of it fades too slowly.
                 self.asked_at[i] = self.now
                 self.commands.append(Probe(self.name[i]))
             if self.now - self.heard[i] > FADE:
--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -77,39 +77,42 @@
     return int(lengths[0])
 
 
-def chunks_end(raw: bytearray, at: int) -> int:
-    """Where a body in chunks that begins at `at` ends; 0 while it is not all there."""
+def chunks_end(raw: bytearray, at: int) -> tuple[int, bool]:
+    """The first chunk from `at` on that is not all there, and False; or the end of the body, and True."""
     while True:
         chunk = CHUNK.match(raw, at)
         if chunk is None:
             if len(raw) - at >= 8 or b"\n" in raw[at:]:
                 raise MalformedError(400, "a chunk without its length")
-            return 0
+            return at, False
         size = int(chunk[1], 16)
-        at = chunk.end() + size + 2
-        if len(raw) >= at and raw[at - 2 : at] != b"\r\n":
+        end = chunk.end() + size + 2
+        if len(raw) < end:
+            return at, False
+        if raw[end - 2 : end] != b"\r\n":
             raise MalformedError(400, "a chunk of another length than it says, or a trailer")
-        if size == 0 or len(raw) < at:
-            return at if len(raw) >= at else 0
+        at = end
+        if size == 0:
+            return at, True
 
 
 class Connection(asyncio.Protocol):
     """One connection that comes in.
 
     Bytes wait here until a request is whole, and only a whole one that nothing follows goes on to the
-    library.
-    What has no plain length, is too large, does not come in time or brings more than it announced is turned
-    away here, which costs neither a task nor a parser, and nothing of it can reach a worker.
+    library. What has no plain length, is too large, does not come in time or brings more than it announced
+    is turned away here, which costs neither a task nor a parser, and nothing of it can reach a worker.
     """
 
-    __slots__ = ("front", "transport", "handler", "raw", "head", "length", "busy", "known", "timer")
+    __slots__ = ("front", "transport", "handler", "raw", "head", "chunk", "length", "busy", "known", "timer")
 
     def __init__(self, front: Front) -> None:
         self.front = front
         self.transport: asyncio.Transport
         self.handler: RequestHandler | None = None
         self.raw = bytearray()
-        self.head = self.length = 0
+        # How long the head is, where the next chunk begins, and how long the whole is; 0 if not known yet.
+        self.head = self.chunk = self.length = 0
         self.busy = False
         self.known = False  # whether it has brought a work item or a callback
         self.timer: asyncio.TimerHandle | None = None
@@ -158,24 +161,23 @@
                 raise MalformedError(431, "the head is too long")
             if at < 0:
                 return False
-            self.head = at + 4
+            self.head = self.chunk = at + 4
             head = bytes(self.raw[: at + 2])
             length = framing_of(head)
             self.length = self.head + length if length >= 0 else 0
             if EXPECT.search(head) and len(self.raw) == self.head and length:
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if not self.length:
-            end = chunks_end(self.raw, self.head)
-            if not end and len(self.raw) - self.head > 2 * BODY_LIMIT:
+            self.chunk, ended = chunks_end(self.raw, self.chunk)
+            if not ended and len(self.raw) - self.head > 2 * BODY_LIMIT:
                 raise MalformedError(413, "the body is too large")
-            if end:
-                self.length = end
+            self.length = self.chunk if ended else 0
         return 0 < self.length <= len(self.raw)
 
     def _pass_on(self) -> None:
         raw = bytes(self.raw)
         self.raw = bytearray()
-        self.head = self.length = 0
+        self.head = self.chunk = self.length = 0
         self.busy = True
         self._stop_timer()
         self.front.taken(self)
--- a/dunepulley/net/workers.py
+++ b/dunepulley/net/workers.py
@@ -175,10 +175,10 @@
                     log.say("worker", f"{ho.worker} answered {answer.status}")
         except aiohttp.SocketTimeoutError:
             self.counters["ho unanswered"] += 1
-            accepted = True
             if not ho.heard:
                 # The worker may have taken it all the same: it is told before the item goes anywhere else.
                 await self._delete(ho, face.DROPPED if ho.kept else face.CUT)
+            return
         except (aiohttp.ClientError, OSError) as problem:
             result = self._meaning(ho, problem)
             if result is face.NOT_SENT and not ho.kept:
