--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -22,8 +22,9 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Generator
+from collections.abc import Generator, Iterable
 from heapq import heappop, heappush
+from math import log
 from typing import Any
 
 from dunepulley.interface import (
@@ -120,10 +121,11 @@
 class Tried:
     """One hand-off of a work item."""
 
-    __slots__ = ("worker", "path", "sent", "begun", "result")
+    __slots__ = ("worker", "path", "sent", "begun", "result", "clear")
 
-    def __init__(self, worker: int, path: tuple[str, bool], sent: float) -> None:
+    def __init__(self, worker: int, path: tuple[str, bool], sent: float, clear: bool) -> None:
         self.worker = worker
+        self.clear = clear
         self.path = path
         self.sent = sent
         self.begun = 0.0
@@ -148,13 +150,31 @@
     return () if value is None else value if isinstance(value, tuple) else (value,)
 
 
-def rank_of(me: str, worker: str) -> float:
-    """Rendezvous hashing: the lower, the higher this dispatcher ranks the worker."""
+def in_order(events: list[Any]) -> list[Any]:
+    """The events of one batch as they are to be taken: all news before any new work item.
+
+    Guards against a dispatcher that wakes to a heap: it would hand off to workers that are said to leave
+    further down, and work for clients that have gone again.
+    """
+    if len(events) < 2:
+        return events
+    gone = {event.wi for event in events if type(event) is Withdrawn}
+    arrived = [event for event in events if type(event) is Arrived and event.wi not in gone]
+    return [event for event in events if type(event) is not Arrived] + arrived
+
+
+def hash_of(text: str) -> int:
+    """FNV-1a, 64 bits."""
     mixed = 0xCBF29CE484222325
-    for byte in f"{me}/{worker}".encode():
+    for byte in text.encode():
         mixed = (mixed ^ byte) * 0x100000001B3 & 0xFFFFFFFFFFFFFFFF
+    return mixed
+
+
+def rank_of(me: str, worker: str) -> float:
+    """Rendezvous hashing: the lower, the higher this dispatcher ranks the worker."""
     # FNV-1a leaves the high bits poor: two rounds of the generator mix them.
-    chance = Chance(mixed)
+    chance = Chance(hash_of(f"{me}/{worker}"))
     chance.part()
     return chance.part()
 
@@ -163,7 +183,7 @@
     """Decides for one dispatcher, from its own events alone."""
 
     def __init__(self, seed: int, settings: dict[str, Any], now: float) -> None:
-        self.now = now
+        self.now = self.idle_since = now
         self.settings = settings
         self.chance = Chance(seed)
         self.commands: list[Any] = []
@@ -186,7 +206,9 @@
         self.can_probe = bool(say("policyLimits.probing", False))
         self.marks_repeats = bool(say("clients.marksRetry", False))
         self.asks_left_out = self.can_probe and say("reporting.how", "none") == "answers"
+        self.beat = say("familyInfo.progressMs", 0.0)
         self.tells_start = bool(say("familyInfo.tellsStart", False))
+        self.live = say("weightSource", "nominal") == "live"
         self.tells_queue = "queue" in listed(say("reporting.fields"))
         # Each work item that comes in earns every tenant its share of one; what it sends beyond is excess.
         self.shares = {
@@ -221,12 +243,15 @@
         self.sent_cold: list[deque] = []
         self.last_report: list[dict[str, float] | None] = []
         self.kind_slots: dict[str, float] = {}
+        self.kind_size: dict[str, float] = {}
         self.cold = say("rules.coldMs", 0.0)
         self.turn_now = 0.0
         # The workers in use, and the others.
         self.used: list[int] = []
         self.spare: list[int] = []
         self.rank: list[float] = []
+        self.hashed: list[int] = []
+        self.homes: dict[str, list[int]] = {}
         self.first_turn: list[int] = []
         self.want_used = 0.0
         self.seen_arrived = 0
@@ -248,8 +273,10 @@
 
     # ---------------------------------------------------------------- events
 
-    def handle(self, now: float, events: list[Any]) -> list[Any]:
-        """Take the events of one moment and return the commands they lead to."""
+    def handle(self, now: float, events: Iterable[Any]) -> list[Any]:
+        """Take the events of one moment (`in_order`) and return the commands they lead to."""
+        # An alarm that rings late: the machine stood still, and what has come since then waited unread.
+        self.idle_since = self.now if now > self.alarm_at + LATE else now
         self.now = now
         self.commands = []
         for event in events:
@@ -285,7 +312,9 @@
         if category is None:
             category = self.categories[event.category] = Category(len(self.categories), {})
         item = Item(event.wi, category)
-        item.slots = event.slots
+        # A worker has one unit of memory for each slot: what takes more of it takes that many slots' room.
+        item.slots = max(event.slots, event.memory)
+        item.key = event.key
         item.work = event.hint or category.mean_run()
         self.mean_work += 0.02 * (item.work * item.slots - self.mean_work)
         item.expiry = self.now + event.budget
@@ -298,6 +327,8 @@
             category.fresh = max(category.fresh + 0.1 * (event.budget - category.fresh), event.budget)
         if self.marks_repeats and not event.repeat:
             category.steady += 0.2 * ((event.budget > 0.98 * category.fresh) - category.steady)
+            # It may have waited for this dispatcher to wake, but not since before it fell asleep.
+            arrived = min(self.now, max(self.idle_since, item.expiry - category.fresh))
         elif category.steady > 0.5:
             arrived = min(self.now, item.expiry - category.fresh)
         # Without a hint take half the mean: running times have long tails, so most are far shorter.
@@ -338,9 +369,11 @@
         if tried.result:
             return
         if not tried.begun:
-            tried.begun = self.now
-            wait = self.now - tried.sent
             i = tried.worker
+            # Word of progress comes up to one beat after the start: about as long ago as what is done took.
+            ago = 0.0 if self.tells_start else min(self.beat, event.done * item.work * self._slowness(i))
+            tried.begun = max(tried.sent, self.now - ago)
+            wait = tried.begun - tried.sent
             # The quickest recent start tells how long a free worker takes; it forgets a twentieth each time.
             path = tried.path
             self.start_ms[path] = min(self.start_ms.get(path, wait) * 1.05, wait)
@@ -597,7 +630,9 @@
         # One that ended there within the idle time has left its connection.
         path = (self.zone_of[i], self.now < self.linked[i])
         self.linked[i] = 0.0
-        item.tried.append(Tried(i, path, self.now))
+        # Where starts are not told, only from a hand-off to a free slot can it be told how long an item runs.
+        clear = self.tells_start or self.own[i] + self.others[i] + item.slots <= self.slots[i] + 0.5
+        item.tried.append(Tried(i, path, self.now, clear))
         item.out += 1
         self.own[i] += item.slots
         if self._cold_age(i) < self.cold:
@@ -681,6 +716,13 @@
 
     def _in_turn(self, item: Item, besides: int = -1) -> int:
         """The next worker in turn with room among those in use, else among the others; or -1."""
+        if item.key:
+            homes = self._homes(item.key)
+            for first in range(0, len(homes), HOMES):
+                i = self._next_of(homes[first : first + HOMES], item, besides)
+                if i >= 0:
+                    return i
+            return -1
         i = self._next_of(self.used, item, besides)
         return i if i >= 0 or not self.spare else self._next_of(self.spare, item, besides)
 
@@ -741,6 +783,25 @@
         self.turn_at[i] = at + 1.0 / max(self.share[i], 1e-6)
         self.turn_now = max(self.turn_now, at)
 
+    def _homes(self, key: str) -> list[int]:
+        """All workers, those first that a rendezvous hash, weighted by size, ranks highest for an item's key.
+
+        What the item needs is kept where its like ran before: all dispatchers agree on where without a word.
+        """
+        homes = self.homes.get(key)
+        if homes is None:
+            mixed = hash_of(key)
+            ranked = []
+            for i in self._ready():
+                chance = Chance(mixed ^ self.hashed[i])
+                chance.part()
+                ranked.append((-log(chance.part() + 1e-12) / self.units[i], i))
+            # As many as a busy minute brings; the rest of a larger set is worked out again.
+            if len(self.homes) >= 2000:
+                self.homes.clear()
+            homes = self.homes[key] = [i for _, i in sorted(ranked)]
+        return homes
+
     def _choose_used(self) -> None:
         """The workers in use: as many of the highest rank as this dispatcher's traffic keeps connected."""
         order = sorted([(self.rank[i], i) for i in self._ready()])
@@ -812,6 +873,11 @@
             self._saw_run(i, service, self.service_mean)
         self.heard[i] = self.now
 
+    def _held(self, i: int, held: float) -> None:
+        """Take in what the list tells of the work held at a worker: it is counted, not sampled, and late."""
+        self.others[i] += 0.5 * (held - self.own_mean[i] - self.others[i])
+        self.heard[i] = self.now
+
     def _fade(self) -> None:
         """What others have at a worker is believed less as the report ages: it fades to the mean of all."""
         ready = self._ready()
@@ -842,7 +908,8 @@
                 # as a report is refreshed; what is believed of it fades too slowly.
                 self.asked_at[i] = self.now
                 self.commands.append(Probe(self.name[i]))
-            if self.now - self.heard[i] > FADE:
+            # Where the list tells what is held, what it does not tell anew has not changed.
+            if not self.live and self.now - self.heard[i] > FADE:
                 self.others[i] += slow * (mean * self.slots[i] - self.others[i])
         self.freed = True
 
@@ -855,9 +922,10 @@
         """Learn from how a hand-off ended."""
         i, result = tried.worker, event.result
         if result == FINISHED:
-            run = self.now - tried.begun if tried.begun else event.took
-            item.category.saw(run)
-            self._saw_run(i, run, item.work)
+            if tried.begun or tried.clear:
+                run = self.now - tried.begun if tried.begun else event.took
+                item.category.saw(run)
+                self._saw_run(i, run, item.work)
             self.trouble[i] *= 0.65
             self.out_step[i] = 0.0
         elif result == FULL:
@@ -963,13 +1031,17 @@
             for worker, i in self.index.items():
                 if worker not in named:
                     self.state[i] = LEFT
+        before = self._ready()
         new = [i for i in [self._entry(entry) for entry in event.entries] if i >= 0]
-        ready = max(1, len(self._ready()))
+        after = self._ready()
+        ready = max(1, len(after))
         for i in new:
             # An unheard worker starts at the mean weight, and somewhere at random in the rotation.
             self.share[i] = 1.0 / ready
             self.turn_at[i] = self.turn_now + self.chance.part() * ready
-        self._choose_used()
+        if new or after != before or event.how != CHANGES:
+            self.homes.clear()
+            self._choose_used()
         self.freed = True
 
     def _follow(self) -> None:
@@ -990,7 +1062,14 @@
         self.state[i] = entry.state
         # Not knowing the size means assuming little.
         self.slots[i] = self.kind_slots.get(entry.kind, 1.0)
-        self.units[i] = entry.units if entry.units > 0.0 else 1.0
+        size = entry.units if entry.units > 0.0 else 1.0
+        if self.live:
+            # Listed is the size, less the more is held: the most that a kind was listed with is its size.
+            most = self.kind_size[entry.kind] = max(size, self.kind_size.get(entry.kind, 0.0))
+            if known:
+                self._held(i, (most / size - 1.0) * self.slots[i])
+            size = most
+        self.units[i] = size
         self.since[i] = entry.since
         return -1 if known else i
 
@@ -1005,6 +1084,7 @@
         self.sent_cold.append(deque())
         self.first_turn.append(int(rank_of("", entry.worker) * self.dispatchers))
         self.rank.append(rank_of(str(self.settings.get("me", "")), entry.worker))
+        self.hashed.append(hash_of(entry.worker))
         self.last_report.append(None)
         self._reset(i)
         return i
@@ -1022,8 +1102,12 @@
         self.sent_cold[i].clear()
 
 
+# Several ticks: an alarm is never this late on a machine that runs.
+LATE = 50.0
 # The design's starting value.
 PERIOD = 2000.0
+# Two homes at a time, so that turns decide between them.
+HOMES = 2
 # Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
 FADE = 250.0
 
--- a/dunepulley/interface.py
+++ b/dunepulley/interface.py
@@ -70,6 +70,8 @@
     tenant: str = ""
     hint: float = 0.0
     repeat: bool = False
+    key: str = ""
+    memory: float = 0.0
 
 
 class Began(NamedTuple):
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -17,7 +17,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from dunepulley import interface as face
-from dunepulley.brain import Dispatcher
+from dunepulley.brain import Dispatcher, in_order
 from dunepulley.net import log
 from dunepulley.net.config import Listed
 from dunepulley.net.counters import Counters
@@ -199,7 +199,7 @@
 
     def _decide(self) -> None:
         """Give the module its events and carry out what it wants."""
-        feed = Feed(self.events)
+        feed = Feed(in_order(self.events))
         self.events = []
         while True:
             try:
--- a/dunepulley/simhost/host.py
+++ b/dunepulley/simhost/host.py
@@ -7,7 +7,7 @@
 from typing import TextIO
 
 from dunepulley import interface as face
-from dunepulley.brain import Dispatcher
+from dunepulley.brain import Dispatcher, in_order
 from dunepulley.simhost import wire
 
 
@@ -74,7 +74,7 @@
         if not events:
             return
         try:
-            commands = self.dispatchers[inst].handle(now, events)
+            commands = self.dispatchers[inst].handle(now, in_order(events))
         except Exception:
             reply.append(f"for dispatcherId={inst}")
             last = traceback.format_exc(limit=-2).strip().replace("\n", " | ")
--- a/dunepulley/simhost/wire.py
+++ b/dunepulley/simhost/wire.py
@@ -80,6 +80,8 @@
         field.get("billing", ""),
         int(field.get("expectedUs", 0)) / 1000.0,
         field.get("resent") == "1",
+        field.get("affinity", ""),
+        float(field.get("mem", 0)),
     )
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,7 +3,7 @@
 import pytest
 from helpers import LEFT, Rig, entry, of
 
-from dunepulley.brain import PERIOD, Chance, Dispatcher
+from dunepulley.brain import PERIOD, Chance, Dispatcher, in_order
 from dunepulley.interface import (
     CHANGES,
     CUT,
@@ -29,6 +29,7 @@
     Probe,
     Probed,
     TakeBack,
+    Withdrawn,
     WriteOff,
 )
 
@@ -428,3 +429,66 @@
         for used in (3.0, 4.0):
             rig.feed(Probed("w0", FINISHED, 1.0, report(1.0, used)), after=1100.0)
         assert of(HandOff, rig.feed(Arrived("b", "look", 4000.0)))
+
+
+def test_news_of_a_batch_comes_before_its_new_items():
+    # Guards against a woken dispatcher's hand-offs to leaving workers, and work for clients that have gone.
+    rig = Rig(workers=2)
+    heap = [
+        Arrived("a", "look", 4000.0),
+        Arrived("b", "look", 4000.0),
+        ListNews(CHANGES, (entry(0, LEFT),)),
+        Withdrawn("a"),
+    ]
+    sent = of(HandOff, rig.feed(*in_order(heap)))
+    assert [(first.wi, first.worker) for first in sent] == [("b", "w1")]
+
+
+@pytest.mark.parametrize(("stall", "handed"), [(0.0, True), (400.0, True), (1200.0, False)])
+def test_an_item_that_waited_for_a_stalled_dispatcher_is_due_as_it_came(stall, handed):
+    rig = Rig(workers=1, clients__marksRetry=True)
+    rig.brain.slots[0] = 99.0
+    for number in range(9):
+        rig.feed(Arrived(f"a{number}", "look", 5000.0, hint=1.0), Withdrawn(f"a{number}"), after=1.0)
+    rig.now += max(0.0, rig.brain.alarm_at - rig.now) if stall else 0.0
+    # Guards against work that can only end late: due 500 ms after it came, not after the waking.
+    commands = rig.feed(Arrived("b", "look", 5000.0 - stall, hint=1.0), after=stall)
+    assert bool(of(HandOff, commands)) == handed
+
+
+def test_items_with_a_key_go_where_it_was_used_before_from_all_dispatchers():
+    # Guards against fetching what an item needs anew at every worker.
+    rigs = [Rig(workers=12, seed=me, me=float(me)) for me in range(8)]
+    for rig in rigs:
+        rig.brain.slots = [4.0] * 12
+    chosen = {key: set() for key in "pqrs"}
+    for number in range(24):
+        for rig in rigs:
+            for key, workers in chosen.items():
+                wi = f"{key}{number}"
+                first = of(HandOff, rig.feed(Arrived(wi, "look", 5000.0, key=key), after=20.0))[0]
+                rig.feed(Ended(wi, 0, FINISHED, first.worker, 5.0, True, report(5.0)))
+                workers.add(first.worker)
+    assert all(len(workers) == 2 for workers in chosen.values())
+    assert len(set.union(*chosen.values())) > 4
+
+
+def test_a_list_that_tells_what_is_held_is_read_as_load_not_as_size():
+    rig = Rig(workers=0, weightSource="live")
+    rig.feed(ListNews(FULL_LIST, tuple(entry(number, units=8.0) for number in range(3))))
+    rig.brain.slots = [4.0] * 3
+    rig.brain.kind_slots["box"] = 4.0
+    for _ in range(6):
+        rig.feed(ListNews(CHANGES, (entry(0, units=4.0), entry(1, units=2.0))), after=700.0)
+    # Sizes stay, and what the list does not tell anew has not changed.
+    assert rig.brain.units == [8.0] * 3
+    assert rig.brain.others == pytest.approx([4.0, 12.0, 0.0], abs=0.5)
+
+
+def test_progress_is_no_start():
+    rig = Rig(1, familyInfo__tellsStart=False, familyInfo__progressMs=1000.0, categories__0__dueTimeMs=4000.0)
+    rig.feed(Arrived("a", "look", 5000.0, hint=2000.0))
+    rig.feed(Began("a", 0, 0.5), after=1000.0)
+    rig.feed(Ended("a", 0, FINISHED, "w0", 2000.0, True), after=1000.0)
+    # Guards against running times that lack what ran before the first word: it ran 2 s, not 1 s.
+    assert rig.brain.run_seen[0] - 900.0 == pytest.approx(2000.0, abs=1.0)
