--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -24,7 +24,7 @@
 from collections import deque
 from collections.abc import Generator, Iterable
 from heapq import heappop, heappush
-from math import log
+from math import log, log2
 from typing import Any
 
 from dunepulley.interface import (
@@ -60,6 +60,8 @@
     SetAlarm,
     Streaming,
     TakeBack,
+    Tell,
+    Told,
     Withdrawn,
     WriteOff,
 )
@@ -209,6 +211,8 @@
         self.beat = say("familyInfo.progressMs", 0.0)
         self.tells_start = bool(say("familyInfo.tellsStart", False))
         self.live = say("weightSource", "nominal") == "live"
+        # Not where the list tells all dispatchers what is held at each worker.
+        self.tells = bool(say("policyLimits.peers", False)) and self.dispatchers > 1.0 and not self.live
         self.tells_queue = "queue" in listed(say("reporting.fields"))
         # Each work item that comes in earns every tenant its share of one; what it sends beyond is excess.
         self.shares = {
@@ -252,6 +256,11 @@
         self.rank: list[float] = []
         self.hashed: list[int] = []
         self.homes: dict[str, list[int]] = {}
+        # Notes: the others' names for the workers, the news to tell, to one other or to all, and the last known.
+        self.by_hash: dict[int, int] = {}
+        self.to_tell: dict[int, tuple[int, int]] = {}
+        self.to_all = False
+        self.last_code: list[tuple[int, int]] = []
         self.first_turn: list[int] = []
         self.want_used = 0.0
         self.seen_arrived = 0
@@ -863,6 +872,10 @@
             # Where it was asked for, nothing of ours was there to blur the look: seven tenths.
             least = 0.7 if self.asked_at[i] > self.heard[i] else 0.3
             weight = max(least, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
+            if self.tells:
+                room = max(-128, min(127, round(8.0 * (self.slots[i] - used))))
+                code = (room, max(0, min(255, round(16.0 * log2(1.0 + max(0.0, self.rate[i]))))))
+                self._pass_on(i, code, False)
             # Where no queue is told, only what runs can be compared.
             ours = self.own_mean[i] if self.queue[i] >= 0.0 or not self.tells_start else self.running_mean[i]
             self.others[i] += weight * (used - ours - self.others[i])
@@ -873,6 +886,52 @@
             self._saw_run(i, service, self.service_mean)
         self.heard[i] = self.now
 
+    def _pass_on(self, i: int, code: tuple[int, int], to_all: bool) -> None:
+        """Keep news of a worker for the next note, unless others have told the same."""
+        if self.last_code[i] == code and not to_all:
+            return
+        self.last_code[i] = code
+        if not self.to_tell:
+            self._at(self.now + NOTE, self._tell)
+        self.to_tell[i] = code
+        self.to_all = self.to_all or to_all
+
+    def _tell(self) -> None:
+        """Send a note: to one of the few that pass on for now, or, from one of these, to all."""
+        # Who passes on changes with the clock, so that one that is gone or asleep is missed for a while only.
+        # A clock that is off costs nothing: who is taken for one passes on all the same.
+        epoch = int(self.now / EPOCH)
+        some = [int(rank_of(str(epoch), str(k)) * self.dispatchers) for k in range(RELAYS)]
+        me = int(self.settings.get("me", 0))
+        entries = [(self.hashed[i] >> 16 & 0xFFFF, *code) for i, code in self.to_tell.items()]
+        if self.to_all or me in some:
+            self.commands.append(Tell(-1, False, tuple(entries)))
+        else:
+            self.commands.append(Tell(some[int(self.chance.part() * RELAYS)], True, tuple(entries)))
+        self.to_tell = {}
+        self.to_all = False
+
+    def _on_told(self, event: Told) -> None:
+        """Take in what another dispatcher heard of workers; it counts as a report of one's own would."""
+        if not self.tells:
+            return
+        for name, room, rate in event.news:
+            i = self.by_hash.get(name, -1)
+            if i < 0 or self.last_code[i] == (room, rate):
+                continue
+            if event.on:
+                self._pass_on(i, (room, rate), True)
+            else:
+                self.last_code[i] = (room, rate)
+            slots = self.slots[i]
+            used = slots - 0.125 * room
+            self.others[i] += 0.5 * (used - self.own_mean[i] - self.others[i])
+            self.busy[i] = 0.5 * (self.busy[i] + max(0.0, used))
+            known = self.rate[i]
+            self.rate[i] = RATES[rate] if known < 0.0 else 0.5 * (known + RATES[rate])
+            self.heard[i] = self.now
+        self.freed = True
+
     def _held(self, i: int, held: float) -> None:
         """Take in what the list tells of the work held at a worker: it is counted, not sampled, and late."""
         self.others[i] += 0.5 * (held - self.own_mean[i] - self.others[i])
@@ -1085,6 +1144,10 @@
         self.first_turn.append(int(rank_of("", entry.worker) * self.dispatchers))
         self.rank.append(rank_of(str(self.settings.get("me", "")), entry.worker))
         self.hashed.append(hash_of(entry.worker))
+        name = self.hashed[i] >> 16 & 0xFFFF
+        # Of two that share a short name nothing is told.
+        self.by_hash[name] = -1 if name in self.by_hash else i
+        self.last_code.append((0, 0))
         self.last_report.append(None)
         self._reset(i)
         return i
@@ -1106,6 +1169,11 @@
 LATE = 50.0
 # The design's starting value.
 PERIOD = 2000.0
+# Notes wait this long for more to go with them; a report is some time behind anyway.
+NOTE = 200.0
+# So many dispatchers pass on at a time, for so long: few, so that notes are few, but not one alone.
+RELAYS, EPOCH = 3, 2000.0
+RATES = [2.0 ** (code / 16.0) - 1.0 for code in range(256)]
 # Two homes at a time, so that turns decide between them.
 HOMES = 2
 # Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
@@ -1119,5 +1187,6 @@
     ListNews: Dispatcher._on_list,
     Probed: Dispatcher._on_probed,
     Streaming: Dispatcher._on_streaming,
+    Told: Dispatcher._on_told,
     Withdrawn: Dispatcher._on_withdrawn,
 }
--- a/dunepulley/interface.py
+++ b/dunepulley/interface.py
@@ -116,6 +116,16 @@
     report: dict[str, float] | None = None
 
 
+class Told(NamedTuple):
+    """What another dispatcher tells: of workers, each by a hash of its name, the room and the rate it reported.
+
+    Room and rate come as the codes of `words.py`. `on`: it is to be passed on to all others.
+    """
+
+    on: bool
+    news: tuple[tuple[int, int, int], ...]
+
+
 class Alarm(NamedTuple):
     """An alarm set earlier has rung."""
 
@@ -156,6 +166,14 @@
     worker: str
 
 
+class Tell(NamedTuple):
+    """Send a note to the dispatcher of this number, or to all others (-1); it may be lost."""
+
+    to: int
+    on: bool
+    news: tuple[tuple[int, int, int], ...]
+
+
 class Follow(NamedTuple):
     """Ask to be told of changes to the worker list."""
 
--- a/dunepulley/simhost/wire.py
+++ b/dunepulley/simhost/wire.py
@@ -108,6 +108,20 @@
     )
 
 
+def told(field: dict[str, str]) -> face.Told | None:
+    """Another dispatcher's note; one that cannot be read is passed over, as a lost one is."""
+    try:
+        return words.note_of(bytes.fromhex(field["octets"]))
+    except ValueError:
+        return None
+
+
+def tell(command: face.Tell) -> str:
+    """A note to one other dispatcher or to all."""
+    recipient = "all" if command.to < 0 else command.to
+    return f"say recipient={recipient} octets={words.octets_of(command).hex()}"
+
+
 READERS = {
     "job_in": job_in,
     "ended": ended,
@@ -116,7 +130,7 @@
     "streaming": lambda field: face.Streaming(field["corr"], int(field["try"])),
     "withdrawn": lambda field: face.Withdrawn(field["corr"]),
     "fired": lambda field: face.Alarm(int(field["token"])),
-    "memo": lambda field: None,  # peers have nothing to tell: dispatchers share nothing
+    "memo": told,
 }
 
 
@@ -127,6 +141,7 @@
     face.WriteOff: lambda c: f"abort corr={c.wi}",
     face.Probe: lambda c: f"sound_out worker={c.worker}",
     face.Follow: lambda c: "follow enable=1",
+    face.Tell: tell,
     face.SetAlarm: lambda c: f"set_timer spanUs={max(1, int(c.delay * 1000) + 1)} token={c.token}",
     face.Note: lambda c: "write_log reasonText=" + c.text.replace("\n", " "),
 }
