--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -24,7 +24,7 @@
 from collections import deque
 from collections.abc import Generator, Iterable
 from heapq import heappop, heappush
-from math import log, log2
+from math import log
 from typing import Any
 
 from dunepulley.interface import (
@@ -65,6 +65,7 @@
     Withdrawn,
     WriteOff,
 )
+from dunepulley.words import NOTE_MOST
 
 NEVER = float("inf")
 
@@ -211,8 +212,11 @@
         self.beat = say("familyInfo.progressMs", 0.0)
         self.tells_start = bool(say("familyInfo.tellsStart", False))
         self.live = say("weightSource", "nominal") == "live"
-        # Not where the list tells all dispatchers what is held at each worker.
-        self.tells = bool(say("policyLimits.peers", False)) and self.dispatchers > 1.0 and not self.live
+        self.me = int(say("me", 0))
+        # Few sum up, so that notes are few, but more than one, and far apart in number.
+        peers = bool(say("policyLimits.peers", False)) and not self.live
+        count = int(self.dispatchers) if peers and self.dispatchers > 1.0 else 0
+        self.relays = sorted({k * count // RELAYS for k in range(RELAYS)}) if count else []
         self.tells_queue = "queue" in listed(say("reporting.fields"))
         # Each work item that comes in earns every tenant its share of one; what it sends beyond is excess.
         self.shares = {
@@ -256,11 +260,14 @@
         self.rank: list[float] = []
         self.hashed: list[int] = []
         self.homes: dict[str, list[int]] = {}
-        # Notes: the others' names for the workers, the news to tell, to one other or to all, and the last known.
-        self.by_hash: dict[int, int] = {}
-        self.to_tell: dict[int, tuple[int, int]] = {}
-        self.to_all = False
-        self.last_code: list[tuple[int, int]] = []
+        # Notes: short names of workers, what was told of here and by whom, and, to sum up, what of each.
+        self.short: list[int] = []
+        self.by_short: dict[int, int] = {}
+        self.told_own: list[float] = []
+        self.told_sum: dict[int, int] = {}
+        self.out_of: dict[int, tuple[float, tuple]] = {}
+        self.sums: dict[int, int] = {}
+        self.telling, self.told_at, self.noted, self.retold = False, 0.0, -NEVER, 0
         self.first_turn: list[int] = []
         self.want_used = 0.0
         self.seen_arrived = 0
@@ -279,6 +286,9 @@
         self._at(now, self._fade)
         if self.asked:
             self._at(now, self._follow)
+        if self.me in self.relays:
+            # Who has just started knows little of the others: listen until all have told theirs.
+            self._at(now + SILENT / 2, self._sum_up)
 
     # ---------------------------------------------------------------- events
 
@@ -408,6 +418,7 @@
         item.out -= 1
         i = tried.worker
         self.own[i] -= item.slots
+        self._out_changed()
         if tried.begun:
             self.running[i] -= item.slots
         self.full_until[i] = 0.0
@@ -644,6 +655,7 @@
         item.tried.append(Tried(i, path, self.now, clear))
         item.out += 1
         self.own[i] += item.slots
+        self._out_changed()
         if self._cold_age(i) < self.cold:
             self.sent_cold[i].append((self.now, self._load_of(item, i)))
         self.commands.append(HandOff(item.wi, self.name[i], item.expiry - self.now))
@@ -872,13 +884,10 @@
             # Where it was asked for, nothing of ours was there to blur the look: seven tenths.
             least = 0.7 if self.asked_at[i] > self.heard[i] else 0.3
             weight = max(least, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
-            if self.tells:
-                room = max(-128, min(127, round(8.0 * (self.slots[i] - used))))
-                code = (room, max(0, min(255, round(16.0 * log2(1.0 + max(0.0, self.rate[i]))))))
-                self._pass_on(i, code, False)
             # Where no queue is told, only what runs can be compared.
             ours = self.own_mean[i] if self.queue[i] >= 0.0 or not self.tells_start else self.running_mean[i]
-            self.others[i] += weight * (used - ours - self.others[i])
+            if self.now - self.noted >= SILENT / 2:
+                self.others[i] += weight * (used - ours - self.others[i])
             self.freed = True
         service = report.get("service_ms", 0.0)
         if service > 0.0:
@@ -886,51 +895,72 @@
             self._saw_run(i, service, self.service_mean)
         self.heard[i] = self.now
 
-    def _pass_on(self, i: int, code: tuple[int, int], to_all: bool) -> None:
-        """Keep news of a worker for the next note, unless others have told the same."""
-        if self.last_code[i] == code and not to_all:
-            return
-        self.last_code[i] = code
-        if not self.to_tell:
+    # ---------------------------------------------------------------- notes between dispatchers
+
+    def _out_changed(self) -> None:
+        """What this dispatcher has out has changed: tell it soon, with what changes until then."""
+        if self.relays and not self.telling:
+            self.telling = True
             self._at(self.now + NOTE, self._tell)
-        self.to_tell[i] = code
-        self.to_all = self.to_all or to_all
 
     def _tell(self) -> None:
-        """Send a note: to one of the few that pass on for now, or, from one of these, to all."""
-        # Who passes on changes with the clock, so that one that is gone or asleep is missed for a while only.
-        # A clock that is off costs nothing: who is taken for one passes on all the same.
-        epoch = int(self.now / EPOCH)
-        some = [int(rank_of(str(epoch), str(k)) * self.dispatchers) for k in range(RELAYS)]
-        me = int(self.settings.get("me", 0))
-        entries = [(self.hashed[i] >> 16 & 0xFFFF, *code) for i, code in self.to_tell.items()]
-        if self.to_all or me in some:
-            self.commands.append(Tell(-1, False, tuple(entries)))
-        else:
-            self.commands.append(Tell(some[int(self.chance.part() * RELAYS)], True, tuple(entries)))
-        self.to_tell = {}
-        self.to_all = False
+        """Tell the few that sum up all that is out from here; a lost note is made good by the next."""
+        self.telling = False
+        self.told_own = list(self.own)
+        mine = [(self.short[i], own) for i, own in enumerate(self.own) if own > 0.0]
+        held = tuple([(short, min(255, int(own + 0.5))) for short, own in mine])
+        for number in self.relays:
+            if number == self.me:
+                self._on_told(Told(number, False, held))
+            else:
+                self.commands.append(Tell(number, False, held))
+        if held:
+            # Silence would be taken for a dispatcher that is gone.
+            self.told_at = self.now
+            self._at(self.now + 0.4 * SILENT, self._remind)
+
+    def _remind(self) -> None:
+        if self.now >= self.told_at + 0.4 * SILENT:
+            self._tell()
 
     def _on_told(self, event: Told) -> None:
-        """Take in what another dispatcher heard of workers; it counts as a report of one's own would."""
-        if not self.tells:
-            return
-        for name, room, rate in event.news:
-            i = self.by_hash.get(name, -1)
-            if i < 0 or self.last_code[i] == (room, rate):
-                continue
-            if event.on:
-                self._pass_on(i, (room, rate), True)
-            else:
-                self.last_code[i] = (room, rate)
-            slots = self.slots[i]
-            used = slots - 0.125 * room
-            self.others[i] += 0.5 * (used - self.own_mean[i] - self.others[i])
-            self.busy[i] = 0.5 * (self.busy[i] + max(0.0, used))
-            known = self.rate[i]
-            self.rate[i] = RATES[rate] if known < 0.0 else 0.5 * (known + RATES[rate])
-            self.heard[i] = self.now
-        self.freed = True
+        """Take in a note: the sum for some workers, or, where this one sums up, all that another has out."""
+        if event.summed:
+            self.noted = self.now
+            for short, held in event.held:
+                self.told_sum[short] = held
+                i = self.by_short.get(short, -1)
+                if 0 <= i:
+                    own = self.told_own[i] if i < len(self.told_own) else 0.0
+                    self.others[i] = max(0.0, held - own)
+            self.freed = True
+        elif self.me in self.relays:
+            old = self.out_of.get(event.sender, (0.0, ()))[1]
+            self.out_of[event.sender] = (self.now, event.held)
+            for sign, entries in ((-1, old), (1, event.held)):
+                for short, held in entries:
+                    self.sums[short] = self.sums.get(short, 0) + sign * held
+
+    def _sum_up(self) -> None:
+        """Tell all others what all hold together, where that is not what was told last."""
+        # Those that sum up take turns, so that one that is asleep or gone is missed for a turn only.
+        turns = len(self.relays)
+        now = int(self.now / TURN + 0.5)
+        wait = (self.relays.index(self.me) - now) % turns or turns
+        self._at((now + wait) * TURN, self._sum_up)
+        for number, (when, _) in list(self.out_of.items()):
+            if self.now - when > SILENT:
+                self._on_told(Told(number, False, ()))
+                del self.out_of[number]
+        news = [(short, held) for short, held in self.sums.items() if held != self.told_sum.get(short, 0)]
+        if self.sums:
+            # And one more in turn, as notes may be lost.
+            self.retold = (self.retold + 1) % len(self.sums)
+            news.append(list(self.sums.items())[self.retold])
+        if news:
+            told = Tell(-1, True, tuple([(short, min(255, held)) for short, held in news[:NOTE_MOST]]))
+            self.commands.append(told)
+            self._on_told(Told(self.me, True, told.held))
 
     def _held(self, i: int, held: float) -> None:
         """Take in what the list tells of the work held at a worker: it is counted, not sampled, and late."""
@@ -950,6 +980,7 @@
             # All were full once and nothing is out that could bring news: without this, beliefs that only
             # fade to their own mean would hold back every item for ever. After 4 s little is known anyway.
             mean = 0.0
+        noted = self.now - self.noted < SILENT / 2
         quick, slow = 1.0 - 0.75**steps, 1.0 - 0.9**steps
         # Not where dispatchers are more than workers: all would ask, hear of the same free slot and crowd it.
         asks = self.asks_left_out and self.dispatchers <= len(ready)
@@ -968,7 +999,7 @@
                 self.asked_at[i] = self.now
                 self.commands.append(Probe(self.name[i]))
             # Where the list tells what is held, what it does not tell anew has not changed.
-            if not self.live and self.now - self.heard[i] > FADE:
+            if not self.live and not noted and self.now - self.heard[i] > FADE:
                 self.others[i] += slow * (mean * self.slots[i] - self.others[i])
         self.freed = True
 
@@ -1144,10 +1175,10 @@
         self.first_turn.append(int(rank_of("", entry.worker) * self.dispatchers))
         self.rank.append(rank_of(str(self.settings.get("me", "")), entry.worker))
         self.hashed.append(hash_of(entry.worker))
-        name = self.hashed[i] >> 16 & 0xFFFF
-        # Of two that share a short name nothing is told.
-        self.by_hash[name] = -1 if name in self.by_hash else i
-        self.last_code.append((0, 0))
+        short = self.hashed[i] >> 16 & 0xFFFF
+        self.short.append(short)
+        # Of two that share a short name nothing is known by it.
+        self.by_short[short] = -1 if short in self.by_short else i
         self.last_report.append(None)
         self._reset(i)
         return i
@@ -1169,11 +1200,11 @@
 LATE = 50.0
 # The design's starting value.
 PERIOD = 2000.0
-# Notes wait this long for more to go with them; a report is some time behind anyway.
-NOTE = 200.0
-# So many dispatchers pass on at a time, for so long: few, so that notes are few, but not one alone.
-RELAYS, EPOCH = 3, 2000.0
-RATES = [2.0 ** (code / 16.0) - 1.0 for code in range(256)]
+# So many sum up what all have out.
+RELAYS = 3
+# Notes wait this long for more to go with them, and sums go out about as often: together well under the second
+# that a report is behind. Who has told nothing for so long is gone, or has nothing out.
+NOTE, TURN, SILENT = 200.0, 300.0, 4000.0
 # Two homes at a time, so that turns decide between them.
 HOMES = 2
 # Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
--- a/dunepulley/interface.py
+++ b/dunepulley/interface.py
@@ -117,13 +117,14 @@
 
 
 class Told(NamedTuple):
-    """What another dispatcher tells: of workers, each by a hash of its name, the room and the rate it reported.
+    """What another dispatcher tells: slots held, by a worker's short name, 16 bits of a hash.
 
-    Room and rate come as the codes of `words.py`. `on`: it is to be passed on to all others.
+    All that it holds there itself, or, where `summed`, what all together hold there.
     """
 
-    on: bool
-    news: tuple[tuple[int, int, int], ...]
+    sender: int
+    summed: bool
+    held: tuple[tuple[int, int], ...]
 
 
 class Alarm(NamedTuple):
@@ -170,8 +171,8 @@
     """Send a note to the dispatcher of this number, or to all others (-1); it may be lost."""
 
     to: int
-    on: bool
-    news: tuple[tuple[int, int, int], ...]
+    summed: bool
+    held: tuple[tuple[int, int], ...]
 
 
 class Follow(NamedTuple):
--- a/dunepulley/simhost/wire.py
+++ b/dunepulley/simhost/wire.py
@@ -111,7 +111,7 @@
 def told(field: dict[str, str]) -> face.Told | None:
     """Another dispatcher's note; one that cannot be read is passed over, as a lost one is."""
     try:
-        return words.note_of(bytes.fromhex(field["octets"]))
+        return words.note_of(int(field["neighbour"]), bytes.fromhex(field["octets"]))
     except ValueError:
         return None
 
--- a/dunepulley/words.py
+++ b/dunepulley/words.py
@@ -10,10 +10,10 @@
 
 from dunepulley import interface as face
 
-# A note holds a byte that says whether it is to be passed on, then 4 bytes a worker: a hash of its name, its
-# room in eighths of a slot (below 0: what waits there), and its rate on a scale of sixteenths of a doubling.
-NOTE_ENTRY = struct.Struct(">HbB")
+# A note holds a byte that says whether it is summed, then 3 bytes a worker: its short name and what is held.
+NOTE_ENTRY = struct.Struct(">HB")
 NOTE_BYTES = 256
+NOTE_MOST = (NOTE_BYTES - 1) // NOTE_ENTRY.size
 REPORT_NAMES = {
     "throughput": "rate",
     "qps": "rate",
@@ -97,12 +97,12 @@
 
 def octets_of(note: face.Tell) -> bytes:
     """A note between dispatchers as it goes over any wire; what does not fit is left out."""
-    entries = note.news[: (NOTE_BYTES - 1) // NOTE_ENTRY.size]
-    return bytes((note.on,)) + b"".join([NOTE_ENTRY.pack(*entry) for entry in entries])
+    entries = note.held[:NOTE_MOST]
+    return bytes((note.summed,)) + b"".join([NOTE_ENTRY.pack(*entry) for entry in entries])
 
 
-def note_of(octets: bytes) -> face.Told:
+def note_of(sender: int, octets: bytes) -> face.Told:
     """A note that another dispatcher sent; raises ValueError on what is none."""
     if not 0 < len(octets) <= NOTE_BYTES or len(octets) % NOTE_ENTRY.size != 1 or octets[0] > 1:
         raise ValueError("no note")
-    return face.Told(octets[0] == 1, tuple(NOTE_ENTRY.iter_unpack(octets[1:])))
+    return face.Told(sender, octets[0] == 1, tuple(NOTE_ENTRY.iter_unpack(octets[1:])))
