--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -214,8 +214,7 @@
         self.live = say("weightSource", "nominal") == "live"
         self.me = int(say("me", 0))
         # Few sum up, so that notes are few, but more than one, and far apart in number.
-        peers = bool(say("policyLimits.peers", False)) and not self.live
-        count = int(self.dispatchers) if peers and self.dispatchers > 1.0 else 0
+        count = int(self.dispatchers) if say("policyLimits.peers", False) and self.dispatchers > 1.0 else 0
         self.relays = sorted({k * count // RELAYS for k in range(RELAYS)}) if count else []
         self.tells_queue = "queue" in listed(say("reporting.fields"))
         # Each work item that comes in earns every tenant its share of one; what it sends beyond is excess.
@@ -964,7 +963,8 @@
 
     def _held(self, i: int, held: float) -> None:
         """Take in what the list tells of the work held at a worker: it is counted, not sampled, and late."""
-        self.others[i] += 0.5 * (held - self.own_mean[i] - self.others[i])
+        if self.now - self.noted >= SILENT / 2:
+            self.others[i] += 0.5 * (held - self.own_mean[i] - self.others[i])
         self.heard[i] = self.now
 
     def _fade(self) -> None:
@@ -1202,8 +1202,8 @@
 PERIOD = 2000.0
 # So many sum up what all have out.
 RELAYS = 3
-# Notes wait this long for more to go with them, and sums go out about as often: together well under the second
-# that a report is behind. Who has told nothing for so long is gone, or has nothing out.
+# Notes wait this long for more to go with them, and sums go out about as often: both together are well under
+# the second that a report is behind. Who has told nothing for so long is gone, or has nothing out.
 NOTE, TURN, SILENT = 200.0, 300.0, 4000.0
 # Two homes at a time, so that turns decide between them.
 HOMES = 2
