--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -259,6 +259,8 @@
         self.rank: list[float] = []
         self.hashed: list[int] = []
         self.homes: dict[str, list[int]] = {}
+        self.seen_key: dict[str, float] = {}
+        self.seen_keys, self.fading = 1.0, 0
         # Notes: short names of workers, what was told of here and by whom, and, to sum up, what of each.
         self.short: list[int] = []
         self.by_short: dict[int, int] = {}
@@ -357,6 +359,16 @@
         item.excess = self._is_excess(event.tenant)
         if item.excess:
             item.value *= self.settings.get("overagePayoff", 1.0)
+        if item.key:
+            # About the last two hundred count. What is seldom asked for is forgotten now and then.
+            self.seen_keys = 1.0 + 0.995 * self.seen_keys
+            self.seen_key[item.key] = self.seen_key.get(item.key, 0.0) + 1.0
+            self.fading += 1
+            if self.fading >= 20:
+                self.fading = 0
+                self.seen_key = {key: 0.905 * seen for key, seen in self.seen_key.items() if seen > 0.2}
+                if len(self.homes) > 2000:
+                    self.homes.clear()
         self.items[event.wi] = item
         item.course = self._course(item)
         self._drive(item, None)
@@ -737,7 +749,7 @@
     def _in_turn(self, item: Item, besides: int = -1) -> int:
         """The next worker in turn with room among those in use, else among the others; or -1."""
         if item.key:
-            homes = self._homes(item.key)
+            homes = self._homes(item)
             for first in range(0, len(homes), HOMES):
                 i = self._next_of(homes[first : first + HOMES], item, besides)
                 if i >= 0:
@@ -780,7 +792,8 @@
     def _least_wait(self, item: Item, limit: float) -> int:
         """Where the wait is expected to be the shortest, if it is within the limit; else -1."""
         best, best_wait = -1, limit
-        for i, state in enumerate(self.state):
+        for i in self._homes(item) if item.key else range(len(self.state)):
+            state = self.state[i]
             # A queue that is not told shows in how long the last hand-offs there took to begin.
             if state != READY or self.wait_seen[i] >= best_wait:
                 continue
@@ -803,24 +816,26 @@
         self.turn_at[i] = at + 1.0 / max(self.share[i], 1e-6)
         self.turn_now = max(self.turn_now, at)
 
-    def _homes(self, key: str) -> list[int]:
-        """All workers, those first that a rendezvous hash, weighted by size, ranks highest for an item's key.
+    def _homes(self, item: Item) -> list[int]:
+        """The workers for what an item is about: as many as its part of the traffic asks for, in their order.
 
-        What the item needs is kept where its like ran before: all dispatchers agree on where without a word.
+        They rank by a rendezvous hash, weighted by size. What an item needs is kept where its like ran before;
+        all dispatchers agree on where without a word. Beyond these it would have to be fetched, and what is
+        kept there for others would go: once that spreads, all fetch and none is in time.
         """
-        homes = self.homes.get(key)
-        if homes is None:
+        key = item.key
+        ranked = self.homes.get(key)
+        if ranked is None:
             mixed = hash_of(key)
-            ranked = []
+            weighed = []
             for i in self._ready():
                 chance = Chance(mixed ^ self.hashed[i])
                 chance.part()
-                ranked.append((-log(chance.part() + 1e-12) / self.units[i], i))
-            # As many as a busy minute brings; the rest of a larger set is worked out again.
-            if len(self.homes) >= 2000:
-                self.homes.clear()
-            homes = self.homes[key] = [i for _, i in sorted(ranked)]
-        return homes
+                weighed.append((-log(chance.part() + 1e-12) / self.units[i], i))
+            ranked = self.homes[key] = [i for _, i in sorted(weighed)]
+        part = self.seen_key.get(key, 0.0) / self.seen_keys
+        most = int(SPREAD * part * len(ranked)) + HOMES
+        return [i for i in ranked[: 2 * most] if self.now >= self.out_until[i]][:most]
 
     def _choose_used(self) -> None:
         """The workers in use: as many of the highest rank as this dispatcher's traffic keeps connected."""
@@ -1207,6 +1222,8 @@
 NOTE, TURN, SILENT = 200.0, 300.0, 4000.0
 # Two homes at a time, so that turns decide between them.
 HOMES = 2
+# So many times a key's part of the traffic its part of the workers may be: room for a busy spell.
+SPREAD = 2.0
 # Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
 FADE = 250.0
 
