--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -819,7 +819,7 @@
     def _homes(self, item: Item) -> list[int]:
         """The workers for what an item is about: as many as its part of the traffic asks for, in their order.
 
-        They rank by a rendezvous hash, weighted by size. What an item needs is kept where its like ran before;
+        They rank by a rendezvous hash, weighted by size. What an item needs stays where its like ran before;
         all dispatchers agree on where without a word. Beyond these it would have to be fetched, and what is
         kept there for others would go: once that spreads, all fetch and none is in time.
         """
