--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -767,6 +767,7 @@
         # Own zone first unsettles the turns, so only where a crossing costs a point in 100 or more, and where
         # all workers are in use: a few of them hold too few of the own zone to carry its traffic.
         near = self.settings.get("prices.crossZone", 0.0) >= 0.01 and not self.spare
+        kept = self.settings.get("prices.handshake", 0.0) >= 0.01
         for i in among:
             at = self.turn_at[i]
             if at >= sure_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
@@ -775,7 +776,7 @@
             room = slots - self.own[i] - self.others[i] - (item.slots if item.slots < slots else slots)
             if room >= 0.0:
                 if self._able(item, i):
-                    if not near or self.zone_of[i] == self.zone:
+                    if (not near or self.zone_of[i] == self.zone) and (not kept or self.linked[i] > self.now):
                         sure, sure_at = i, at
                     elif at < far_at:
                         far, far_at = i, at
