--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -251,6 +251,7 @@
         self.last_report: list[dict[str, float] | None] = []
         self.kind_slots: dict[str, float] = {}
         self.kind_size: dict[str, float] = {}
+        self.kind_runs: dict[str, list[float]] = {}
         self.cold = say("rules.coldMs", 0.0)
         self.turn_now = 0.0
         # The workers in use, and the others.
@@ -729,7 +730,9 @@
 
     def _slowness(self, i: int) -> float:
         """How long the worker runs a work item, as a multiple of what was expected of it."""
-        return self.run_seen[i] / self.run_due[i]
+        # A second as its kind runs it counts too, so that the first running times do not decide alone.
+        seen, due = self.kind_runs[self.kind_of[i]]
+        return (self.run_seen[i] + 1000.0 * seen / due) / (self.run_due[i] + 1000.0)
 
     def _able(self, item: Item, i: int) -> bool:
         """Whether a worker may be given this work item at all."""
@@ -761,31 +764,27 @@
     def _next_of(self, among: list[int], item: Item, besides: int) -> int:
         """The next worker in turn that has room for the work item, or -1.
 
-        One that has room only by half a slot of doubt has its turn if none clearly has.
+        What speaks against a worker comes before turns: half a slot of doubt most, then that it is likely too
+        slow for the item, then a new connection or another zone, where one of these costs a point in 100.
         """
-        sure, sure_at, far, far_at, best, best_at = -1, NEVER, -1, NEVER, -1, NEVER
-        # Own zone first unsettles the turns, so only where a crossing costs a point in 100 or more, and where
-        # all workers are in use: a few of them hold too few of the own zone to carry its traffic.
+        best, best_at, best_against = -1, NEVER, 99
+        # Own zone first unsettles the turns, so only where all workers are in use: a few of them hold too few
+        # of the own zone to carry its traffic.
         near = self.settings.get("prices.crossZone", 0.0) >= 0.01 and not self.spare
         kept = self.settings.get("prices.handshake", 0.0) >= 0.01
+        left = item.due - self.now
         for i in among:
             at = self.turn_at[i]
-            if at >= sure_at or i == besides or self.state[i] != READY or self.now < self.full_until[i]:
+            if (not best_against and at >= best_at) or self.state[i] != READY or i == besides:
                 continue
             slots = self.slots[i]
             room = slots - self.own[i] - self.others[i] - (item.slots if item.slots < slots else slots)
-            if room >= 0.0:
-                if self._able(item, i):
-                    if (not near or self.zone_of[i] == self.zone) and (not kept or self.linked[i] > self.now):
-                        sure, sure_at = i, at
-                    elif at < far_at:
-                        far, far_at = i, at
-            elif room >= -0.5 and at < best_at and self._able(item, i):
-                best, best_at = i, at
-        if sure >= 0:
-            best = sure
-        elif far >= 0:
-            best = far
+            if room < -0.5 or self.now < self.full_until[i]:
+                continue
+            dear = (near and self.zone_of[i] != self.zone) or (kept and self.linked[i] < self.now)
+            against = 4 * (room < 0.0) + 2 * (item.work * self._slowness(i) > left) + dear
+            if (against, at) < (best_against, best_at) and self._able(item, i):
+                best, best_at, best_against = i, at, against
         if best >= 0:
             self._take_turn(best)
         return best
@@ -1020,9 +1019,11 @@
         self.freed = True
 
     def _saw_run(self, i: int, run: float, expected: float) -> None:
-        """Count a running time against what was expected; about the last ten count."""
+        """Count a running time against what was expected; about the last ten count, and fifty of a kind."""
         self.run_seen[i] = self.run_seen[i] * 0.9 + run
         self.run_due[i] = self.run_due[i] * 0.9 + expected
+        kind = self.kind_runs[self.kind_of[i]]
+        kind[:] = kind[0] * 0.98 + run, kind[1] * 0.98 + expected
 
     def _judge(self, item: Item, tried: Tried, event: Ended) -> None:
         """Learn from how a hand-off ended."""
@@ -1165,6 +1166,7 @@
         self.zone_of[i] = entry.zone
         self.cell_of[i] = entry.cell
         self.kind_of[i] = entry.kind
+        self.kind_runs.setdefault(entry.kind, [1000.0, 1000.0])
         self.state[i] = entry.state
         # Not knowing the size means assuming little.
         self.slots[i] = self.kind_slots.get(entry.kind, 1.0)
@@ -1204,8 +1206,7 @@
         self.rate[i] = self.queue[i] = -1.0
         self.heard[i] = self.now
         self.others[i] = self.busy[i] = self.own_mean[i] = self.running_mean[i] = self.wait_seen[i] = 0.0
-        # One sample of a second at the expected speed, so that the first running time does not decide alone.
-        self.run_seen[i] = self.run_due[i] = 1000.0
+        self.run_seen[i] = self.run_due[i] = 0.0
         self.linked[i] = self.part_until[i] = 0.0
         self.trouble[i] = self.out_until[i] = self.out_step[i] = self.full_until[i] = 0.0
         self.last_report[i] = None
