--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -231,7 +231,7 @@
         self.cell_of: list[str] = []
         self.kind_of: list[str] = []
         self.state: list[str] = []
-        self.figures: list[list[float]] = [[] for _ in range(27)]
+        self.figures: list[list[float]] = [[] for _ in range(26)]
         # fmt: off
         (
             # Their figures, in parallel arrays: what the list says and the share and turn that follow, ...
@@ -242,7 +242,7 @@
             self.own, self.own_mean, self.running, self.running_mean, self.run_seen, self.run_due,
             self.wait_seen, self.linked, self.fulls, self.full_until,
             # ... until when it is sick, or cold, and its part of the budget then.
-            self.trouble, self.out_until, self.out_step, self.unreached, self.part, self.part_until,
+            self.trouble, self.out_until, self.out_step, self.part, self.part_until,
         ) = self.figures
         # fmt: on
         # The quickest start to each zone, over a connection at hand and over a new one.
@@ -269,7 +269,6 @@
         self.told_sum: dict[int, int] = {}
         self.out_of: dict[int, tuple[float, tuple]] = {}
         self.sums: dict[int, int] = {}
-        self.told_sick: set[int] = set()
         self.telling, self.told_at, self.noted, self.next_told = False, 0.0, -NEVER, 0
         self.first_turn: list[int] = []
         self.want_used = 0.0
@@ -923,9 +922,7 @@
         self.telling = False
         self.told_own = list(self.own)
         mine = [(self.short[i], own) for i, own in enumerate(self.own) if own > 0.0]
-        # Who could not be reached of late goes with them.
-        sick = [(self.short[i], SICK) for i, until in enumerate(self.unreached) if until > self.now]
-        held = tuple([(short, min(SICK - 1, int(own + 0.5))) for short, own in mine] + sick)
+        held = tuple([(short, min(255, int(own + 0.5))) for short, own in mine])
         for number in self.relays:
             if number == self.me:
                 self._on_told(Told(number, False, held))
@@ -948,12 +945,6 @@
                 i = self.by_short.get(short, -1)
                 if i < 0:
                     continue
-                if held == SICK:
-                    # A short rest and a trial, no more: another's word may be about its own way there only.
-                    self.out_step[i] = max(self.out_step[i], 500.0)
-                    rest = 500.0 * (0.75 + 0.5 * self.chance.part())
-                    self.out_until[i] = max(self.out_until[i], self.now + rest)
-                    continue
                 self.told_sum[short] = held
                 own = self.told_own[i] if i < len(self.told_own) else 0.0
                 self.others[i] = max(0.0, held - own)
@@ -963,10 +954,7 @@
             self.out_of[event.sender] = (self.now, event.held)
             for sign, entries in ((-1, old), (1, event.held)):
                 for short, held in entries:
-                    if held != SICK:
-                        self.sums[short] = self.sums.get(short, 0) + sign * held
-                    elif sign > 0:
-                        self.told_sick.add(short)
+                    self.sums[short] = self.sums.get(short, 0) + sign * held
 
     def _sum_up(self) -> None:
         """Tell all others what all hold together, where that is not what was told last."""
@@ -979,22 +967,20 @@
             if self.now - when > SILENT:
                 self._on_told(Told(number, False, ()))
                 del self.out_of[number]
-        news = [(short, SICK) for short in self.told_sick]
-        self.told_sick.clear()
+        news = []
         # Begin after the one told last; and tell one more than has changed, as notes may be lost.
         names = list(self.sums)
         for k in range(len(names)):
             short = names[(self.next_told + k) % len(names)]
-            held = min(SICK - 1, self.sums[short])
+            held = min(255, self.sums[short])
             if not k or held != self.told_sum.get(short, 0):
                 news.append((short, held))
                 if len(news) == NOTE_MOST:
                     break
         if news:
             self.next_told += k + 1 if len(news) == NOTE_MOST else 1
-            told = Tell(-1, True, tuple(news[:NOTE_MOST]))
-            self.commands.append(told)
-            self._on_told(Told(self.me, True, told.held))
+            self.commands.append(Tell(-1, True, tuple(news)))
+            self._on_told(Told(self.me, True, tuple(news)))
 
     def _held(self, i: int, held: float) -> None:
         """Take in what the list tells of the work held at a worker: it is counted, not sampled, and late."""
@@ -1067,8 +1053,6 @@
                 self._sicken(i)
         elif result == NOT_CONNECTED or result == CUT:
             self._sicken(i)
-            if result == NOT_CONNECTED:
-                self.unreached[i] = self.now + 2.0 * NOTE
 
     def _sicken(self, i: int) -> None:
         """No turns for a while, twice as long each time until something finishes there; then trials."""
@@ -1244,8 +1228,6 @@
 # Notes wait this long for more to go with them, and sums go out about as often: both together are well under
 # the second that a report is behind. Who has told nothing for so long is gone, or has nothing out.
 NOTE, TURN, SILENT = 200.0, 300.0, 4000.0
-# Told in place of what is held: it could not be reached.
-SICK = 255
 # Two homes at a time, so that turns decide between them.
 HOMES = 2
 # So many times a key's part of the traffic its part of the workers may be: room for a busy spell.
