--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -474,7 +474,7 @@
                 error = 0.25 * self.mean_work
                 if self.now >= item.latest:
                     i = self._least_wait(item, error + item.due - self.now - 0.5 * item.work)
-                elif self.tells_queue and not item.excess:
+                elif (self.tells_queue or self._noted()) and not item.excess:
                     i = self._least_wait(item, error + 0.25 * (item.latest - self.now))
             if i < 0 and self.now < item.latest:
                 yield HOLD, item.latest
@@ -900,7 +900,7 @@
             weight = max(least, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
             # Where no queue is told, only what runs can be compared.
             ours = self.own_mean[i] if self.queue[i] >= 0.0 or not self.tells_start else self.running_mean[i]
-            if self.now - self.noted >= SILENT / 2:
+            if not self._noted():
                 self.others[i] += weight * (used - ours - self.others[i])
             self.freed = True
         service = report.get("service_ms", 0.0)
@@ -911,6 +911,10 @@
 
     # ---------------------------------------------------------------- notes between dispatchers
 
+    def _noted(self) -> bool:
+        """Whether the others' notes tell what is held at each worker."""
+        return self.now - self.noted < SILENT / 2
+
     def _out_changed(self) -> None:
         """What this dispatcher has out has changed: tell it soon, with what changes until then."""
         if self.relays and not self.telling:
@@ -984,7 +988,7 @@
 
     def _held(self, i: int, held: float) -> None:
         """Take in what the list tells of the work held at a worker: it is counted, not sampled, and late."""
-        if self.now - self.noted >= SILENT / 2:
+        if not self._noted():
             self.others[i] += 0.5 * (held - self.own_mean[i] - self.others[i])
         self.heard[i] = self.now
 
@@ -1001,7 +1005,7 @@
             # All were full once and nothing is out that could bring news: without this, beliefs that only
             # fade to their own mean would hold back every item for ever. After 4 s little is known anyway.
             mean = 0.0
-        noted = self.now - self.noted < SILENT / 2
+        noted = self._noted()
         quick, slow = 1.0 - 0.75**steps, 1.0 - 0.9**steps
         # Not where dispatchers are more than workers: all would ask, hear of the same free slot and crowd it.
         asks = self.asks_left_out and self.dispatchers <= len(ready)
