--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -854,6 +854,9 @@
         # Until something ends there, or for a fifth of a second: a busy worker frees a slot about that often.
         self.full_until[i] = self.now + 200.0
 
+    def _look(self) -> None:
+        self.freed = True
+
     def _serve_held(self) -> None:
         """Give held work items another look, the best paid for their work first."""
         self.held.sort(key=lambda item: (-item.value, item.latest))
@@ -952,7 +955,9 @@
                 self.told_sum[short] = held
                 own = self.told_own[i] if i < len(self.told_own) else 0.0
                 self.others[i] = max(0.0, held - own)
-            self.freed = True
+            # All hear at once of a worker that has come free: those with held items look one after the other.
+            if self.held:
+                self._at(self.now + 2.0 * TURN * self.chance.part(), self._look)
         elif self.me in self.relays:
             old = self.out_of.get(event.sender, (0.0, ()))[1]
             self.out_of[event.sender] = (self.now, event.held)
