--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -285,7 +285,10 @@
 class Clients:
     """Serves clients, and whoever else calls at their address."""
 
-    def __init__(self, core: Core, settings: dict[str, Any], sockets: int, counters: Counters) -> None:
+    def __init__(
+        self, core: Core, settings: dict[str, Any], sockets: int, counters: Counters, by_key: bool = False
+    ) -> None:
+        self.by_key = by_key
         self.core = core
         self.counters = counters
         self.callbacks = callbacks.Callbacks(core.put, counters)
@@ -458,6 +461,8 @@
             headers.get("X-Caller", ""),
             number_of(headers.get("X-Call-Cost", "0")) / 1000.0,
             headers.get("X-Again") == "1",
+            path.rpartition("/")[2] if self.by_key else "",
+            number_of(figures.get("memory", "0")),
         )
         body = await self._body(request)
         if wi in self.waiting or wi in self.core.open:
--- a/dunepulley/net/config.py
+++ b/dunepulley/net/config.py
@@ -10,6 +10,22 @@
 from dunepulley import interface as face
 from dunepulley import words
 
+
+def _is_figure(value: object) -> bool:
+    return isinstance(value, float) and 0.0 <= value < float("inf")
+
+
+# What would do harm in the wrong form; all that is not named here is read where it is used.
+CHECKED = {
+    "balancers": (lambda value: _is_figure(value) and value >= 1.0, "1 or more"),
+    "me": (_is_figure, "0 or more"),
+    "weightSource": (lambda value: value in ("none", "nominal", "rough", "live"), "a source of weights"),
+    "policyLimits.peers": (lambda value: isinstance(value, bool), "true or false"),
+    "policyLimits.connIdleMs": (_is_figure, "a time"),
+    "familyInfo.progressMs": (_is_figure, "a time"),
+    "prices.handshake": (_is_figure, "a price"),
+    "prices.crossZone": (_is_figure, "a price"),
+}
 PHASES = {"Ready": face.READY, "Terminating": face.LEAVING, "Gone": face.LEFT}
 
 
@@ -36,6 +52,8 @@
     known: Listed
     settings: dict[str, object]
     path: str = ""
+    peers: tuple[tuple[str, int], ...] = ()
+    by_key: bool = False
 
     def told(self) -> str:
         """What was told, for a person."""
@@ -68,6 +86,11 @@
         discovery = environment.get("ROUTER_DISCOVERY") or told["discovery"]
         address_of(discovery)
         known = told.get("known")
+        settings = settings_of(told["settings"])
+        peers = peers_of(told.get("peers"), settings)
+        by_key = told.get("by_key", False)
+        if not isinstance(by_key, bool):
+            raise ValueError(f"by_key is {by_key!r}, neither true nor false")
         return Start(
             environment.get("ROUTER_NAME") or str(told.get("name", "")),
             address_of(listen),
@@ -75,8 +98,10 @@
             int(str(told.get("seed", "0")), 16),
             int(limits.get("sockets", 1024)),
             listed(known, face.DISK_LIST) if known else Listed(0, face.ListNews(face.DISK_LIST), {}),
-            settings_of(told["settings"]),
+            settings,
             path,
+            peers,
+            by_key,
         )
     except KeyError as problem:
         raise UnusableError(f"{path}: {problem} is missing") from problem
@@ -117,9 +142,26 @@
     if not isinstance(told, dict):
         raise ValueError("settings is no JSON object")
     walk("", told)
+    for name, (fits, wanted) in CHECKED.items():
+        if name in settings and not fits(settings[name]):
+            raise ValueError(f"{name} is {settings[name]!r}, not {wanted}")
     return settings
 
 
+def peers_of(told: Any, settings: dict[str, object]) -> tuple[tuple[str, int], ...]:
+    """The dispatchers that notes go to, in the order of their numbers; with none listed, none are sent."""
+    if not told:
+        settings["policyLimits.peers"] = False
+        return ()
+    if not isinstance(told, list):
+        raise ValueError("peers is no list")
+    peers = tuple([address_of(address) for address in told])
+    me, count = settings.get("me", 0.0), settings.get("balancers", 1.0)
+    if len(peers) != count or not me < count:
+        raise ValueError(f"peers lists {len(peers)} dispatchers, of which this is number {me:g} of {count:g}")
+    return peers
+
+
 def categories_of(settings: dict[str, Any], what: str) -> list[Any]:
     """What the settings say of each category, in order; None where they say nothing."""
     count = int(settings.get("categories.count", 0))
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -113,6 +113,12 @@
     def probe(self, worker: str, address: str) -> None: ...
 
 
+class Peering(Protocol):
+    """What carries notes to the other dispatchers."""
+
+    def send(self, me: int, note: face.Tell) -> None: ...
+
+
 class Open:
     """A work item that is not answered yet, or has a hand-off out."""
 
@@ -158,6 +164,7 @@
         self.settings = settings
         self.counters = counters
         self.hands: Hands
+        self.peers: Peering
         self.queue: asyncio.Queue[Any] = asyncio.Queue()
         self.dispatcher = Dispatcher(seed, settings, self.now)
         self.open: dict[str, Open] = {}
@@ -380,6 +387,9 @@
         self.counters["probes"] += 1
         self.hands.probe(command.worker, address)
 
+    def _write_tell(self, command: face.Tell) -> None:
+        self.peers.send(int(self.settings.get("me", 0)), command)
+
     def _write_alarm(self, command: face.SetAlarm) -> None:
         def ring() -> None:
             self.alarms.discard(handle)
@@ -402,6 +412,7 @@
     Told: Core._read_told,
     Listed: Core._read_listed,
     face.Probed: Core._read_event,
+    face.Told: Core._read_event,
     face.Alarm: Core._read_event,
 }
 WRITERS = {
@@ -411,6 +422,7 @@
     face.WriteOff: Core._write_write_off,
     face.Probe: Core._write_probe,
     face.Follow: Core._write_follow,
+    face.Tell: Core._write_tell,
     face.SetAlarm: Core._write_alarm,
     face.Note: Core._write_note,
 }
--- /dev/null
+++ b/dunepulley/net/peers.py
@@ -0,0 +1,65 @@
+"""Notes between dispatchers, as datagrams on the clients' address: small, and lost without harm.
+
+`Peers` owns the one socket. Whom to tell what is the module's business.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from dunepulley import interface as face
+from dunepulley import words
+from dunepulley.net.counters import Counters
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Sends notes to the dispatchers listed, by their numbers, and takes notes from them alone."""
+
+    def __init__(
+        self, all_of: tuple[tuple[str, int], ...], put: Callable[[Any], None], counters: Counters
+    ) -> None:
+        self.all_of = all_of
+        self.number_of = {address: number for number, address in enumerate(all_of)}
+        self.put = put
+        self.counters = counters
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def open(self, address: tuple[str, int]) -> None:
+        """Take notes at this dispatcher's own address, from which they go out, too."""
+        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def send(self, me: int, note: face.Tell) -> None:
+        """Send a note to one other or to all."""
+        if self.transport is None:
+            return
+        octets = words.octets_of(note)
+        for number in range(len(self.all_of)) if note.to < 0 else (note.to,):
+            if number != me and number < len(self.all_of):
+                self.counters["notes sent"] += 1
+                self.transport.sendto(octets, self.all_of[number])
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        number = self.number_of.get(addr[:2])
+        try:
+            if number is None:
+                raise ValueError("not from a dispatcher")
+            note = words.note_of(number, data)
+        except ValueError:
+            self.counters["notes dropped"] += 1
+            return
+        self.counters["notes taken"] += 1
+        self.put(note)
+
+    def error_received(self, exc: OSError) -> None:
+        """Nobody listened: that one is restarting, or gone."""
+        self.counters["notes unheard"] += 1
+
+    def close(self) -> None:
+        """Give the socket back."""
+        if self.transport is not None:
+            self.transport.close()
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -15,6 +15,7 @@
 from dunepulley.net.core import Core
 from dunepulley.net.counters import Counters
 from dunepulley.net.discovery import Discovery
+from dunepulley.net.peers import Peers
 from dunepulley.net.workers import Workers
 
 # Clients' connections go on coming for 0.4 s after SIGTERM.
@@ -38,7 +39,8 @@
         self.core = Core(start.seed, start.settings, start.known, self.counters)
         self.workers = Workers(start.settings, sockets, self.core.put, self.counters)
         self.core.hands = self.workers
-        self.clients = Clients(self.core, start.settings, sockets, self.counters)
+        self.peers = self.core.peers = Peers(start.peers, self.core.put, self.counters)
+        self.clients = Clients(self.core, start.settings, sockets, self.counters, start.by_key)
         self.discovery = start.discovery
         self.watch: asyncio.Task | None = None
         self.task: asyncio.Task | None = None
@@ -53,6 +55,8 @@
         host, port = self.start_with.listen
         try:
             self.port = self.clients.listen(host, port)
+            if self.start_with.peers:
+                await self.peers.open((host, self.port))
         except OSError as problem:
             raise config.UnusableError(f"cannot listen at {host}:{port}: {problem.strerror}") from problem
         self.clients.accepting.add_done_callback(self._task_ended)
@@ -109,6 +113,7 @@
     async def close(self) -> None:
         """Give back every socket and task."""
         await self.clients.close()
+        self.peers.close()
         tasks = [task for task in (self.task, self.watch) if task is not None]
         for task in tasks:
             task.cancel()
