--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -231,7 +231,7 @@
         self.cell_of: list[str] = []
         self.kind_of: list[str] = []
         self.state: list[str] = []
-        self.figures: list[list[float]] = [[] for _ in range(26)]
+        self.figures: list[list[float]] = [[] for _ in range(27)]
         # fmt: off
         (
             # Their figures, in parallel arrays: what the list says and the share and turn that follow, ...
@@ -240,7 +240,7 @@
             self.rate, self.heard, self.queue, self.busy, self.others, self.slots, self.asked_at,
             # ... what this dispatcher has there, how it runs and how long it waited, ...
             self.own, self.own_mean, self.running, self.running_mean, self.run_seen, self.run_due,
-            self.wait_seen, self.linked, self.fulls, self.full_until,
+            self.wait_seen, self.linked, self.fulls, self.full_until, self.untold,
             # ... until when it is sick, or cold, and its part of the budget then.
             self.trouble, self.out_until, self.out_step, self.part, self.part_until,
         ) = self.figures
@@ -903,7 +903,10 @@
             weight = max(least, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
             # Where no queue is told, only what runs can be compared.
             ours = self.own_mean[i] if self.queue[i] >= 0.0 or not self.tells_start else self.running_mean[i]
-            if not self._noted():
+            if self._noted():
+                # What is used beyond what was told belongs to dispatchers that tell nothing.
+                self.untold[i] += 0.3 * (used - self.told_sum.get(self.short[i], 0) - self.untold[i])
+            else:
                 self.others[i] += weight * (used - ours - self.others[i])
             self.freed = True
         service = report.get("service_ms", 0.0)
@@ -954,7 +957,7 @@
                     continue
                 self.told_sum[short] = held
                 own = self.told_own[i] if i < len(self.told_own) else 0.0
-                self.others[i] = max(0.0, held - own)
+                self.others[i] = max(0.0, held - own) + max(0.0, self.untold[i])
             # All hear at once of a worker that has come free: those with held items look one after the other.
             if self.held:
                 self._at(self.now + 2.0 * TURN * self.chance.part(), self._look)
@@ -1222,7 +1225,7 @@
         self.heard[i] = self.now
         self.others[i] = self.busy[i] = self.own_mean[i] = self.running_mean[i] = self.wait_seen[i] = 0.0
         self.run_seen[i] = self.run_due[i] = 0.0
-        self.linked[i] = self.part_until[i] = 0.0
+        self.linked[i] = self.part_until[i] = self.untold[i] = 0.0
         self.trouble[i] = self.out_until[i] = self.out_step[i] = self.full_until[i] = 0.0
         self.last_report[i] = None
         self.sent_cold[i].clear()
