--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -124,13 +124,13 @@
 class Tried:
     """One hand-off of a work item."""
 
-    __slots__ = ("worker", "path", "sent", "begun", "result", "clear", "word")
+    __slots__ = ("worker", "path", "sent", "begun", "result", "clear")
 
     def __init__(self, worker: int, path: tuple[str, bool], sent: float, clear: bool) -> None:
         self.worker = worker
         self.clear = clear
         self.path = path
-        self.sent = self.word = sent
+        self.sent = sent
         self.begun = 0.0
         self.result = ""
 
@@ -399,7 +399,6 @@
         tried = item.tried[event.ho]
         if tried.result:
             return
-        tried.word = self.now
         if not tried.begun:
             i = tried.worker
             # Word of progress comes up to one beat after the start: about as long ago as what is done took.
@@ -500,7 +499,7 @@
                     for number, other in enumerate(item.tried):
                         if not other.result and other is not running[0]:
                             yield TAKE_BACK, number
-                    said = yield WAIT, running[0].word + 2.5 * self.beat if self.beat else NEVER
+                    said = yield WAIT, NEVER
                 elif said is TIME and self.tells_start and not running:
                     waited = self.now - tried.sent
                     self.wait_seen[tried.worker] = max(self.wait_seen[tried.worker], waited)
@@ -521,21 +520,12 @@
                             yield TAKE_BACK, len(item.tried) - 1
                     # Look again after a quarter of a run: a slot is then likely to have come free somewhere.
                     said = yield WAIT, self.now + max(30.0, 0.25 * item.work)
-                elif said is TIME and self.beat and not self.tells_start and (tried.clear or running):
-                    # It runs or ought to, but of the last two beats none was heard: silent, or at a stand.
-                    if self.now >= tried.word + 2.5 * self.beat and item.out == 1:
-                        self._sicken(tried.worker)
-                        j = self._in_turn(item, tried.worker) if self.copies and self._affords(item) else -1
-                        if j >= 0:
-                            said = yield HAND_OFF, j
-                            continue
-                    said = yield WAIT, max(self.now + self.beat, tried.word + 2.5 * self.beat)
                 else:
                     # Only where starts are told: a look that sees nothing would come again at once, forever.
                     # One that runs is waited for, whatever becomes of its copies.
-                    look = tried.sent + (self._grace(tried) if self.tells_start else 2.5 * self.beat)
-                    look = NEVER if running or not (self.tells_start or self.beat) else look
-                    said = yield WAIT, max(self.now + 1.0, look)
+                    look = not running and self.tells_start
+                    grace = self._grace(tried)
+                    said = yield WAIT, max(self.now + 1.0, tried.sent + grace) if look else NEVER
             # No hand-off is out and none finished.
             # What no worker may be given again is answered at once, not held.
             barred = not any([self._may_repeat_at(item, j) for j in self._ready()])
