--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -3,8 +3,8 @@
 How to call: `Dispatcher(seed, settings, now)`, then `handle(now, events)` with each batch of events, which
 returns the commands in the order they are to be carried out. Its interface, the types of events and commands,
 is `dunepulley/interface.py`. `settings` is a plain map of names to values; unknown names are ignored, absent
-ones have defaults. The module is pure: time is what it is told, chance comes from the seed, and dispatchers
-share nothing.
+ones have defaults. The module is pure: time is what it is told, chance comes from the seed. Dispatchers share
+nothing but notes, where these are allowed; any may be lost, and no rule rests on them.
 
 The ordinary path (docs/design.md): each control period a worker's share follows its reported consumption
 rate, is cut to 9/10 where its reported load is over the limit, and work items go out in evenly spread
@@ -27,45 +27,8 @@
 from math import log
 from typing import Any
 
-from dunepulley.interface import (
-    CHANGES,
-    CUT,
-    DISK_LIST,
-    DROPPED,
-    ERRED,
-    EXCLUSIVE,
-    FINISHED,
-    FULL,
-    LEFT,
-    LIST_ERROR,
-    NEVER_RAN,
-    NOT_CONNECTED,
-    NOT_SENT,
-    READY,
-    RERUNNABLE,
-    TICKETED,
-    TIMED_OUT,
-    UNFIT,
-    Alarm,
-    Arrived,
-    Began,
-    Defer,
-    Ended,
-    Entry,
-    Follow,
-    HandOff,
-    ListNews,
-    Probe,
-    Probed,
-    SetAlarm,
-    Streaming,
-    TakeBack,
-    Tell,
-    Told,
-    Withdrawn,
-    WriteOff,
-)
-from dunepulley.words import NOTE_MOST
+from dunepulley import interface as face
+from dunepulley.words import NOTE_MOST, hash_of
 
 NEVER = float("inf")
 
@@ -103,10 +66,10 @@
         self.stretch = said("aimStretch", stretches[number] if number < len(stretches) else 0.0)
         self.payoff = said("payoff", 1.0)
         # A category whose effect is not told, or a group that we don't know, must never run twice.
-        self.effect = said("effect", EXCLUSIVE)
-        self.group = said("keyScope", "") if self.effect == TICKETED else "all"
+        self.effect = said("effect", face.EXCLUSIVE)
+        self.group = said("keyScope", "") if self.effect == face.TICKETED else "all"
         if self.group not in ("all", "zone", "cell"):
-            self.effect = EXCLUSIVE
+            self.effect = face.EXCLUSIVE
         self.window = said("windowMs", 0.0)
         self.kind = int(kinds[number]) if number < len(kinds) else -1
         # The mean running time, until it is known: an eighth of the expiry, which is several times the work.
@@ -161,17 +124,9 @@
     """
     if len(events) < 2:
         return events
-    gone = {event.wi for event in events if type(event) is Withdrawn}
-    arrived = [event for event in events if type(event) is Arrived and event.wi not in gone]
-    return [event for event in events if type(event) is not Arrived] + arrived
-
-
-def hash_of(text: str) -> int:
-    """FNV-1a, 64 bits."""
-    mixed = 0xCBF29CE484222325
-    for byte in text.encode():
-        mixed = (mixed ^ byte) * 0x100000001B3 & 0xFFFFFFFFFFFFFFFF
-    return mixed
+    gone = {event.wi for event in events if type(event) is face.Withdrawn}
+    arrived = [event for event in events if type(event) is face.Arrived and event.wi not in gone]
+    return [event for event in events if type(event) is not face.Arrived] + arrived
 
 
 def rank_of(me: str, worker: str) -> float:
@@ -194,15 +149,13 @@
         self.held: list[Item] = []
         self.freed = False
         self.deadlines: list[tuple] = []
-        self.order = 0
-        self.alarm_at, self.token = NEVER, 0
+        self.alarm_at, self.token, self.order = NEVER, 0, 0
         say = settings.get
         self.categories: dict[str, Category] = {}
         for number in range(int(say("categories.count", 0))):
             self.categories[say(f"categories.{number}.name", str(number))] = Category(number, settings)
         self.dispatchers = max(1.0, say("balancers", 1.0))
         self.zone = say("zone", "")
-        self.asked = say("discovery", "pushed") == "asked"
         self.most = int(say("policyLimits.mostHandOffs", 1))
         self.copies = bool(say("policyLimits.secondCopies", False))
         self.can_take_back = bool(say("policyLimits.cancel", False))
@@ -231,20 +184,18 @@
         self.cell_of: list[str] = []
         self.kind_of: list[str] = []
         self.state: list[str] = []
-        self.figures: list[list[float]] = [[] for _ in range(27)]
-        # fmt: off
+        self.figures: list[list[float]] = [[] for _ in range(26)]
         (
             # Their figures, in parallel arrays: what the list says and the share and turn that follow, ...
             self.units, self.since, self.share, self.turn_at,
             # ... what was reported and when, or asked for, ...
             self.rate, self.heard, self.queue, self.busy, self.others, self.slots, self.asked_at,
             # ... what this dispatcher has there, how it runs and how long it waited, ...
-            self.own, self.own_mean, self.running, self.running_mean, self.run_seen, self.run_due,
-            self.wait_seen, self.linked, self.fulls, self.full_until, self.untold,
+            self.own, self.own_mean, self.run_seen, self.run_due, self.wait_seen,
+            self.linked, self.fulls, self.full_until, self.told_own, self.untold,
             # ... until when it is sick, or cold, and its part of the budget then.
             self.trouble, self.out_until, self.out_step, self.part, self.part_until,
         ) = self.figures
-        # fmt: on
         # The quickest start to each zone, over a connection at hand and over a new one.
         self.start_ms: dict[tuple[str, bool], float] = {}
         self.sent_cold: list[deque] = []
@@ -261,33 +212,25 @@
         self.hashed: list[int] = []
         self.homes: dict[str, list[int]] = {}
         self.seen_key: dict[str, float] = {}
-        self.seen_keys, self.fading = 1.0, 0
+        self.seen_keys = 1.0
         # Notes: short names of workers, what was told of here and by whom, and, to sum up, what of each.
         self.short: list[int] = []
         self.by_short: dict[int, int] = {}
-        self.told_own: list[float] = []
         self.told_sum: dict[int, int] = {}
         self.out_of: dict[int, tuple[float, tuple]] = {}
         self.sums: dict[int, int] = {}
         self.telling, self.told_at, self.noted, self.next_told = False, 0.0, -NEVER, 0
         self.first_turn: list[int] = []
-        self.want_used = 0.0
-        self.seen_arrived = 0
-        self.credit = 1.0
-        self.further_success = 0.5
+        self.want_used, self.seen_arrived = 0.0, 0
+        self.credit, self.further_success = 1.0, 0.5
         self.arrived = 0
-        self.list_errors = 0
-        self.probes = 0
         # Half the work where to move is the only way to look. Where probes bring reports, a twentieth:
         # whether a worker drops what is taken back is not told, and if it does not, each copy is load.
         self.further_part = 0.05 if self.can_probe and self.copies else 0.5
-        self.service_mean = 0.0
         self.mean_work = 500.0
         # Start somewhere in the period, so that dispatchers started together don't steer in step.
         self._at(now + self.chance.part() * PERIOD, self._control)
         self._at(now, self._fade)
-        if self.asked:
-            self._at(now, self._follow)
         if self.me in self.relays:
             # Who has just started knows little of the others: listen until all have told theirs.
             self._at(now + SILENT / 2, self._sum_up)
@@ -314,10 +257,10 @@
         if self.deadlines and self.deadlines[0][0] < self.alarm_at:
             self.token += 1
             self.alarm_at = self.deadlines[0][0]
-            self.commands.append(SetAlarm(self.alarm_at - now, self.token))
+            self.commands.append(face.SetAlarm(self.alarm_at - now, self.token))
         return self.commands
 
-    def _on_alarm(self, event: Alarm) -> None:
+    def _on_alarm(self, event: face.Alarm) -> None:
         if event.token == self.token:
             self.alarm_at = NEVER
 
@@ -325,7 +268,7 @@
         self.order += 1
         heappush(self.deadlines, (when, self.order, what, stamp))
 
-    def _on_arrived(self, event: Arrived) -> None:
+    def _on_arrived(self, event: face.Arrived) -> None:
         self.arrived += 1
         # Each work item earns a part of a further hand-off, less where the recent ones did not help.
         self.credit = min(20.0, self.credit + self.further_part * self.further_success)
@@ -361,15 +304,13 @@
         if item.excess:
             item.value *= self.settings.get("overagePayoff", 1.0)
         if item.key:
-            # About the last two hundred count. What is seldom asked for is forgotten now and then.
-            self.seen_keys = 1.0 + 0.995 * self.seen_keys
+            self.seen_keys += 1.0
             self.seen_key[item.key] = self.seen_key.get(item.key, 0.0) + 1.0
-            self.fading += 1
-            if self.fading >= 20:
-                self.fading = 0
-                self.seen_key = {key: 0.905 * seen for key, seen in self.seen_key.items() if seen > 0.2}
-                if len(self.homes) > 2000:
-                    self.homes.clear()
+            if self.seen_keys > 300.0:
+                # About the last two hundred count; what is seldom asked for is forgotten.
+                self.seen_keys *= 0.5
+                self.seen_key = {key: 0.5 * seen for key, seen in self.seen_key.items() if seen > 0.5}
+                self.homes.clear()
         self.items[event.wi] = item
         item.course = self._course(item)
         self._drive(item, None)
@@ -387,12 +328,12 @@
             earned[tenant] -= 1.0
         return excess
 
-    def _on_withdrawn(self, event: Withdrawn) -> None:
+    def _on_withdrawn(self, event: face.Withdrawn) -> None:
         item = self.items.get(event.wi)
         if item is not None:
             self._close(item)
 
-    def _on_began(self, event: Began) -> None:
+    def _on_began(self, event: face.Began) -> None:
         item = self.items.get(event.wi)
         if item is None or event.ho >= len(item.tried):
             return
@@ -409,17 +350,16 @@
             path = tried.path
             self.start_ms[path] = min(self.start_ms.get(path, wait) * 1.05, wait)
             self.wait_seen[i] = wait - self.start_ms[path]
-            self.running[i] += item.slots
             if not item.over:
                 self._drive(item, BEGUN)
 
-    def _on_streaming(self, event: Streaming) -> None:
+    def _on_streaming(self, event: face.Streaming) -> None:
         item = self.items.get(event.wi)
         if item is not None:
             item.over = True
             self._forget_hold(item)
 
-    def _on_ended(self, event: Ended) -> None:
+    def _on_ended(self, event: face.Ended) -> None:
         if event.report:
             self._heard_of(event.worker, event.report)
         item = self.items.get(event.wi)
@@ -431,17 +371,15 @@
         i = tried.worker
         self.own[i] -= item.slots
         self._out_changed()
-        if tried.begun:
-            self.running[i] -= item.slots
         self.full_until[i] = 0.0
         self.linked[i] = self.now + self.settings.get("policyLimits.connIdleMs", 0.0)
         self.freed = True
         self._judge(item, tried, event)
         if event.over and not item.over:
-            self._close(item, event.result == FINISHED)
-        elif event.result == UNFIT and not item.over:
+            self._close(item, event.result == face.FINISHED)
+        elif event.result == face.UNFIT and not item.over:
             # No worker can use it, and the client that sent it need not come again with the same.
-            self.commands.append(WriteOff(item.wi))
+            self.commands.append(face.WriteOff(item.wi))
             self._close(item)
         if item.over:
             if item.out == 0:
@@ -449,13 +387,13 @@
         else:
             self._drive(item, event.result)
 
-    def _on_probed(self, event: Probed) -> None:
+    def _on_probed(self, event: face.Probed) -> None:
         i = self.index.get(event.worker)
         if i is None:
             return
         if event.report:
             self._heard_of(event.worker, event.report)
-        if event.result == NOT_CONNECTED:
+        if event.result == face.NOT_CONNECTED:
             self._sicken(i)
 
     # ---------------------------------------------------------------- the course of a work item
@@ -539,7 +477,7 @@
         Nothing where the last one broke: this one goes out in its place, not beside it. Paid from a credit
         that grows with the traffic, a span of broken connections would leave most of what it hit unanswered.
         """
-        if item.tried[-1].result in (CUT, DROPPED, NOT_CONNECTED, NOT_SENT):
+        if item.tried[-1].result in (face.CUT, face.DROPPED, face.NOT_CONNECTED, face.NOT_SENT):
             return 0.0
         return item.work * item.slots / self.mean_work
 
@@ -581,7 +519,7 @@
                 self._at(min(arg, overdue), item, item.stamp)
                 return
             elif want is TAKE_BACK and self.can_take_back:
-                self.commands.append(TakeBack(item.wi, arg))
+                self.commands.append(face.TakeBack(item.wi, arg))
             elif want is GIVE_UP:
                 self._answer(item)
 
@@ -596,19 +534,19 @@
         """The four rules, asked before every hand-off."""
         if item.over or len(item.tried) >= self.most or self.now >= item.expiry:
             return False
-        if self.state[i] != READY or (item.out and not self.copies):
+        if self.state[i] != face.READY or (item.out and not self.copies):
             return False
         return self._may_repeat_at(item, i) and self._cold_room(item, i)
 
     def _may_repeat_at(self, item: Item, i: int) -> bool:
         """Whether a hand-off to this worker cannot make an effect happen twice."""
         category = item.category
-        if category.effect == RERUNNABLE or not item.tried:
+        if category.effect == face.RERUNNABLE or not item.tried:
             return True
         for tried in item.tried:
-            if tried.result in NEVER_RAN:
+            if tried.result in face.NEVER_RAN:
                 continue
-            if category.effect != TICKETED:
+            if category.effect != face.TICKETED:
                 return False
             # The hand-off takes a while to arrive: keep a tenth of the window clear.
             if self.now - tried.sent > category.window * 0.9:
@@ -623,9 +561,9 @@
         """Whether the client may try again without making an effect happen twice."""
         category = item.category
         return (
-            category.effect == RERUNNABLE
-            or (category.effect == TICKETED and category.group == "all")
-            or all([tried.result in NEVER_RAN for tried in item.tried])
+            category.effect == face.RERUNNABLE
+            or (category.effect == face.TICKETED and category.group == "all")
+            or all([tried.result in face.NEVER_RAN for tried in item.tried])
         )
 
     def _answer(self, item: Item) -> None:
@@ -636,9 +574,9 @@
             advised = bool(self.settings.get("policyLimits.retryAfter", False))
             longest = self.settings.get("policyLimits.maxRetryAfterMs", 0.0)
             wait = min(longest, category.mean_run()) if advised else 0.0
-            self.commands.append(Defer(item.wi, wait))
+            self.commands.append(face.Defer(item.wi, wait))
         else:
-            self.commands.append(WriteOff(item.wi))
+            self.commands.append(face.WriteOff(item.wi))
         self._close(item)
 
     def _close(self, item: Item, finished: bool = False) -> None:
@@ -652,7 +590,7 @@
         if self.can_take_back:
             for number, tried in enumerate(item.tried):
                 if not tried.result:
-                    self.commands.append(TakeBack(item.wi, number))
+                    self.commands.append(face.TakeBack(item.wi, number))
         if item.out == 0:
             self.items.pop(item.wi, None)
 
@@ -670,7 +608,7 @@
         self._out_changed()
         if self._cold_age(i) < self.cold:
             self.sent_cold[i].append((self.now, self._load_of(item, i)))
-        self.commands.append(HandOff(item.wi, self.name[i], item.expiry - self.now))
+        self.commands.append(face.HandOff(item.wi, self.name[i], item.expiry - self.now))
 
     # ---------------------------------------------------------------- cold workers
 
@@ -726,7 +664,7 @@
     # ---------------------------------------------------------------- picking a worker
 
     def _ready(self) -> list[int]:
-        return [i for i, state in enumerate(self.state) if state == READY]
+        return [i for i, state in enumerate(self.state) if state == face.READY]
 
     def _slowness(self, i: int) -> float:
         """How long the worker runs a work item, as a multiple of what was expected of it."""
@@ -736,7 +674,7 @@
 
     def _able(self, item: Item, i: int) -> bool:
         """Whether a worker may be given this work item at all."""
-        if self.state[i] != READY or self.now < self.out_until[i]:
+        if self.state[i] != face.READY or self.now < self.out_until[i]:
             return False
         if self.out_step[i] and self.own[i] > 0:
             return False  # a worker on trial gets one work item at a time
@@ -775,7 +713,7 @@
         left = item.due - self.now
         for i in among:
             at = self.turn_at[i]
-            if (not best_against and at >= best_at) or self.state[i] != READY or i == besides:
+            if (not best_against and at >= best_at) or self.state[i] != face.READY or i == besides:
                 continue
             slots = self.slots[i]
             room = slots - self.own[i] - self.others[i] - (item.slots if item.slots < slots else slots)
@@ -795,7 +733,7 @@
         for i in self._homes(item) if item.key else range(len(self.state)):
             state = self.state[i]
             # A queue that is not told shows in how long the last hand-offs there took to begin.
-            if state != READY or self.wait_seen[i] >= best_wait:
+            if state != face.READY or self.wait_seen[i] >= best_wait:
                 continue
             slots = self.slots[i]
             ahead = self.own[i] + self.others[i] + item.slots - slots
@@ -854,9 +792,6 @@
         # Until something ends there, or for a fifth of a second: a busy worker frees a slot about that often.
         self.full_until[i] = self.now + 200.0
 
-    def _look(self) -> None:
-        self.freed = True
-
     def _serve_held(self) -> None:
         """Give held work items another look, the best paid for their work first."""
         self.held.sort(key=lambda item: (-item.value, item.latest))
@@ -882,7 +817,6 @@
         kind = self.kind_of[i]
         rate = report.get("rate")
         if rate is not None and 0.0 <= rate < 1e6:
-            rate = max(0.0, rate - max(0.0, report.get("errors", 0.0)))
             self.rate[i] = rate if self.rate[i] < 0 else 0.5 * (self.rate[i] + rate)
         self.queue[i] = report.get("queue", -1.0)
         free = report.get("x0")
@@ -901,18 +835,12 @@
             # Where it was asked for, nothing of ours was there to blur the look: seven tenths.
             least = 0.7 if self.asked_at[i] > self.heard[i] else 0.3
             weight = max(least, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
-            # Where no queue is told, only what runs can be compared.
-            ours = self.own_mean[i] if self.queue[i] >= 0.0 or not self.tells_start else self.running_mean[i]
             if self._noted():
                 # What is used beyond what was told belongs to dispatchers that tell nothing.
                 self.untold[i] += 0.3 * (used - self.told_sum.get(self.short[i], 0) - self.untold[i])
             else:
-                self.others[i] += weight * (used - ours - self.others[i])
+                self.others[i] += weight * (used - self.own_mean[i] - self.others[i])
             self.freed = True
-        service = report.get("service_ms", 0.0)
-        if service > 0.0:
-            self.service_mean = 0.95 * self.service_mean + 0.05 * service if self.service_mean else service
-            self._saw_run(i, service, self.service_mean)
         self.heard[i] = self.now
 
     # ---------------------------------------------------------------- notes between dispatchers
@@ -930,14 +858,13 @@
     def _tell(self) -> None:
         """Tell the few that sum up all that is out from here; a lost note is made good by the next."""
         self.telling = False
-        self.told_own = list(self.own)
-        mine = [(self.short[i], own) for i, own in enumerate(self.own) if own > 0.0]
-        held = tuple([(short, min(255, int(own + 0.5))) for short, own in mine])
+        self.told_own[:] = self.own
+        held = tuple([(self.short[i], min(255, int(own + 0.5))) for i, own in enumerate(self.own) if own])
         for number in self.relays:
             if number == self.me:
-                self._on_told(Told(number, False, held))
+                self._on_told(face.Told(number, False, held))
             else:
-                self.commands.append(Tell(number, False, held))
+                self.commands.append(face.Tell(number, False, held))
         if held:
             # Silence would be taken for a dispatcher that is gone.
             self.told_at = self.now
@@ -947,20 +874,18 @@
         if self.now >= self.told_at + 0.4 * SILENT:
             self._tell()
 
-    def _on_told(self, event: Told) -> None:
+    def _on_told(self, event: face.Told) -> None:
         """Take in a note: the sum for some workers, or, where this one sums up, all that another has out."""
         if event.summed:
             self.noted = self.now
             for short, held in event.held:
                 i = self.by_short.get(short, -1)
-                if i < 0:
-                    continue
-                self.told_sum[short] = held
-                own = self.told_own[i] if i < len(self.told_own) else 0.0
-                self.others[i] = max(0.0, held - own) + max(0.0, self.untold[i])
+                if i >= 0:
+                    self.told_sum[short] = held
+                    self.others[i] = max(0.0, held - self.told_own[i]) + max(0.0, self.untold[i])
             # All hear at once of a worker that has come free: those with held items look one after the other.
             if self.held:
-                self._at(self.now + 2.0 * TURN * self.chance.part(), self._look)
+                self._at(self.now + 2.0 * TURN * self.chance.part(), self._serve_held)
         elif self.me in self.relays:
             old = self.out_of.get(event.sender, (0.0, ()))[1]
             self.out_of[event.sender] = (self.now, event.held)
@@ -977,28 +902,18 @@
         self._at((now + wait) * TURN, self._sum_up)
         for number, (when, _) in list(self.out_of.items()):
             if self.now - when > SILENT:
-                self._on_told(Told(number, False, ()))
+                self._on_told(face.Told(number, False, ()))
                 del self.out_of[number]
-        news = []
-        # Begin after the one told last; and tell one more than has changed, as notes may be lost.
-        names = list(self.sums)
-        for k in range(len(names)):
-            short = names[(self.next_told + k) % len(names)]
-            held = min(255, self.sums[short])
-            if not k or held != self.told_sum.get(short, 0):
-                news.append((short, held))
-                if len(news) == NOTE_MOST:
-                    break
+        # Begin further on each time, and tell that first one though it has not changed, as notes may be lost.
+        sums = [(short, min(255, held)) for short, held in self.sums.items()]
+        start = self.next_told % max(1, len(sums))
+        sums = sums[start:] + sums[:start]
+        news = sums[:1] + [told for told in sums[1:] if told[1] != self.told_sum.get(told[0], 0)]
         if news:
-            self.next_told += k + 1 if len(news) == NOTE_MOST else 1
-            self.commands.append(Tell(-1, True, tuple(news)))
-            self._on_told(Told(self.me, True, tuple(news)))
-
-    def _held(self, i: int, held: float) -> None:
-        """Take in what the list tells of the work held at a worker: it is counted, not sampled, and late."""
-        if not self._noted():
-            self.others[i] += 0.5 * (held - self.own_mean[i] - self.others[i])
-        self.heard[i] = self.now
+            self.next_told += 1 if len(news) <= NOTE_MOST else NOTE_MOST
+            news = news[:NOTE_MOST]
+            self.commands.append(face.Tell(-1, True, tuple(news)))
+            self._on_told(face.Told(self.me, True, tuple(news)))
 
     def _fade(self) -> None:
         """What others have at a worker is believed less as the report ages: it fades to the mean of all."""
@@ -1019,18 +934,13 @@
         asks = self.asks_left_out and self.dispatchers <= len(ready)
         for i in ready:
             self.own_mean[i] += quick * (self.own[i] - self.own_mean[i])
-            self.running_mean[i] += quick * (self.running[i] - self.running_mean[i])
             self.wait_seen[i] *= 1.0 - slow
-            if (
-                asks
-                and not self.own[i]
-                and self.others[i] > self.slots[i] - 1.0
-                and self.now - max(self.heard[i], self.asked_at[i]) > 1000.0
-            ):
+            full = asks and not self.own[i] and self.others[i] > self.slots[i] - 1.0
+            if full and self.now - max(self.heard[i], self.asked_at[i]) > 1000.0:
                 # It is held to be full, so it gets nothing, so no answer says otherwise: ask, about as often
                 # as a report is refreshed; what is believed of it fades too slowly.
                 self.asked_at[i] = self.now
-                self.commands.append(Probe(self.name[i]))
+                self.commands.append(face.Probe(self.name[i]))
             # Where the list tells what is held, what it does not tell anew has not changed.
             if not self.live and not noted and self.now - self.heard[i] > FADE:
                 self.others[i] += slow * (mean * self.slots[i] - self.others[i])
@@ -1043,27 +953,27 @@
         kind = self.kind_runs[self.kind_of[i]]
         kind[:] = kind[0] * 0.98 + run, kind[1] * 0.98 + expected
 
-    def _judge(self, item: Item, tried: Tried, event: Ended) -> None:
+    def _judge(self, item: Item, tried: Tried, event: face.Ended) -> None:
         """Learn from how a hand-off ended."""
         i, result = tried.worker, event.result
-        if result == FINISHED:
+        if result == face.FINISHED:
             if tried.begun or tried.clear:
                 run = self.now - tried.begun if tried.begun else event.took
                 item.category.saw(run)
                 self._saw_run(i, run, item.work)
             self.trouble[i] *= 0.65
             self.out_step[i] = 0.0
-        elif result == FULL:
+        elif result == face.FULL:
             self.fulls[i] += 1
             self._is_full(i)
             # Turned away: a whole queue stands there, of which no report need tell.
             self.others[i] = max(self.others[i], 2.0 * self.slots[i])
-        elif result == ERRED or result == TIMED_OUT:
+        elif result == face.ERRED or result == face.TIMED_OUT:
             # Two errors in a row, or most of the recent ones, make a worker sick.
             self.trouble[i] = 0.65 * self.trouble[i] + 0.35
             if self.trouble[i] > 0.5:
                 self._sicken(i)
-        elif result == NOT_CONNECTED or result == CUT:
+        elif result == face.NOT_CONNECTED or result == face.CUT:
             self._sicken(i)
 
     def _sicken(self, i: int) -> None:
@@ -1086,15 +996,6 @@
         self._choose_used()
         if not ready:
             return
-        if self.can_probe and self.settings.get("reporting.how") == "probe":
-            # The paper's tolerated overhead: as many probes an item as cost a point in 100, at most two. A
-            # dispatcher with little traffic waits a few periods between two rounds.
-            price = self.settings.get("prices.probe", 0.0)
-            tolerated = min(2.0, 0.01 / price) if price > 0.0 else 2.0
-            if self.arrived * tolerated >= self.probes:
-                # Those in use: a report on a worker that gets nothing would be stale before it serves.
-                self.probes += len(self.used)
-                self.commands.extend([Probe(self.name[i]) for i in self.used])
         rates = []
         for i in ready:
             # At light load the delivered rate only echoes what was sent: count it for the busy part only.
@@ -1141,21 +1042,14 @@
 
     # ---------------------------------------------------------------- the list of workers
 
-    def _on_list(self, event: ListNews) -> None:
-        if event.how == LIST_ERROR:
-            # The service is crowded or the subscription broke: ask again, later each time, not all at once.
-            self.list_errors += 1
-            delay = min(5000.0, 200.0 * 2.0 ** min(self.list_errors, 6))
-            if self.asked:
-                self._at(self.now + delay * (0.5 + self.chance.part()), self._follow)
+    def _on_list(self, event: face.ListNews) -> None:
+        if event.how == face.LIST_ERROR:
             return
-        if event.how != DISK_LIST:
-            self.list_errors = 0
-        if event.how != CHANGES:
+        if event.how != face.CHANGES:
             named = {entry.worker for entry in event.entries}
             for worker, i in self.index.items():
                 if worker not in named:
-                    self.state[i] = LEFT
+                    self.state[i] = face.LEFT
         before = self._ready()
         new = [i for i in [self._entry(entry) for entry in event.entries] if i >= 0]
         after = self._ready()
@@ -1164,21 +1058,18 @@
             # An unheard worker starts at the mean weight, and somewhere at random in the rotation.
             self.share[i] = 1.0 / ready
             self.turn_at[i] = self.turn_now + self.chance.part() * ready
-        if new or after != before or event.how != CHANGES:
+        if new or after != before or event.how != face.CHANGES:
             self.homes.clear()
             self._choose_used()
         self.freed = True
 
-    def _follow(self) -> None:
-        self.commands.append(Follow())
-
-    def _entry(self, entry: Entry) -> int:
+    def _entry(self, entry: face.Entry) -> int:
         """Take in one entry; the worker's index if it is new or has started again, else -1."""
         i = self.index.get(entry.worker)
         known = i is not None
         if i is None:
             i = self._new_worker(entry)
-        elif entry.since > self.since[i] or (self.state[i] == LEFT and entry.state == READY):
+        elif entry.since > self.since[i] or (self.state[i] == face.LEFT and entry.state == face.READY):
             self._reset(i)
             known = False
         self.zone_of[i] = entry.zone
@@ -1192,14 +1083,17 @@
         if self.live:
             # Listed is the size, less the more is held: the most that a kind was listed with is its size.
             most = self.kind_size[entry.kind] = max(size, self.kind_size.get(entry.kind, 0.0))
-            if known:
-                self._held(i, (most / size - 1.0) * self.slots[i])
+            if known and not self._noted():
+                # Counted, not sampled, but late.
+                held = (most / size - 1.0) * self.slots[i]
+                self.others[i] += 0.5 * (held - self.own_mean[i] - self.others[i])
+            self.heard[i] = self.now
             size = most
         self.units[i] = size
         self.since[i] = entry.since
         return -1 if known else i
 
-    def _new_worker(self, entry: Entry) -> int:
+    def _new_worker(self, entry: face.Entry) -> int:
         i = len(self.name)
         self.index[entry.worker] = i
         self.name.append(entry.worker)
@@ -1223,7 +1117,7 @@
         """A worker that is new or has started again: nothing is known of it."""
         self.rate[i] = self.queue[i] = -1.0
         self.heard[i] = self.now
-        self.others[i] = self.busy[i] = self.own_mean[i] = self.running_mean[i] = self.wait_seen[i] = 0.0
+        self.others[i] = self.busy[i] = self.own_mean[i] = self.wait_seen[i] = 0.0
         self.run_seen[i] = self.run_due[i] = 0.0
         self.linked[i] = self.part_until[i] = self.untold[i] = 0.0
         self.trouble[i] = self.out_until[i] = self.out_step[i] = self.full_until[i] = 0.0
@@ -1248,13 +1142,13 @@
 FADE = 250.0
 
 HANDLERS = {
-    Alarm: Dispatcher._on_alarm,
-    Arrived: Dispatcher._on_arrived,
-    Began: Dispatcher._on_began,
-    Ended: Dispatcher._on_ended,
-    ListNews: Dispatcher._on_list,
-    Probed: Dispatcher._on_probed,
-    Streaming: Dispatcher._on_streaming,
-    Told: Dispatcher._on_told,
-    Withdrawn: Dispatcher._on_withdrawn,
+    face.Alarm: Dispatcher._on_alarm,
+    face.Arrived: Dispatcher._on_arrived,
+    face.Began: Dispatcher._on_began,
+    face.Ended: Dispatcher._on_ended,
+    face.ListNews: Dispatcher._on_list,
+    face.Probed: Dispatcher._on_probed,
+    face.Streaming: Dispatcher._on_streaming,
+    face.Told: Dispatcher._on_told,
+    face.Withdrawn: Dispatcher._on_withdrawn,
 }
--- a/dunepulley/interface.py
+++ b/dunepulley/interface.py
@@ -175,10 +175,6 @@
     held: tuple[tuple[int, int], ...]
 
 
-class Follow(NamedTuple):
-    """Ask to be told of changes to the worker list."""
-
-
 class SetAlarm(NamedTuple):
     """Ring after `delay` ms."""
 
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -401,9 +401,6 @@
     def _write_note(self, command: face.Note) -> None:
         log.say("note", command.text)
 
-    def _write_follow(self, command: face.Follow) -> None:
-        """Nothing to do: discovery is watched from the start, at no cost."""
-
 
 READERS = {
     Taken: Core._read_taken,
@@ -421,7 +418,6 @@
     face.Defer: Core._write_defer,
     face.WriteOff: Core._write_write_off,
     face.Probe: Core._write_probe,
-    face.Follow: Core._write_follow,
     face.Tell: Core._write_tell,
     face.SetAlarm: Core._write_alarm,
     face.Note: Core._write_note,
--- a/dunepulley/words.py
+++ b/dunepulley/words.py
@@ -18,10 +18,6 @@
     "throughput": "rate",
     "qps": "rate",
     "backlog": "queue",
-    "recent_ms": "service_ms",
-    "latency_ms": "service_ms",
-    "errors_per_s": "errors",
-    "eps": "errors",
     "outstanding": "held",
     "inflight": "held",
     "utilization": "busy",
@@ -36,14 +32,20 @@
     "keyed": face.TICKETED,
     "non_idempotent": face.EXCLUSIVE,
     "unsafe": face.EXCLUSIVE,
-    "subscribe": "asked",
-    "ask": "asked",
     "automatic": "pushed",
     "push": "pushed",
     "": (),
 }
 
 
+def hash_of(text: str) -> int:
+    """FNV-1a, 64 bits; 16 of them are a worker's short name in notes."""
+    mixed = 0xCBF29CE484222325
+    for byte in text.encode():
+        mixed = (mixed ^ byte) * 0x100000001B3 & 0xFFFFFFFFFFFFFFFF
+    return mixed
+
+
 def is_name(setting: str) -> bool:
     """Whether a setting names a thing (a category, a tenant, a zone): a text, whatever it looks like."""
     return setting.endswith(".name") or setting in ("zone", "name")
