--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -668,9 +668,10 @@
 
     def _slowness(self, i: int) -> float:
         """How long the worker runs a work item, as a multiple of what was expected of it."""
-        # A second as its kind runs it counts too, so that the first running times do not decide alone.
-        seen, due = self.kind_runs[self.kind_of[i]]
-        return (self.run_seen[i] + 1000.0 * seen / due) / (self.run_due[i] + 1000.0)
+        seen, due = self.run_seen[i], self.run_due[i]
+        if not due:
+            seen, due = self.kind_runs[self.kind_of[i]]
+        return seen / due
 
     def _able(self, item: Item, i: int) -> bool:
         """Whether a worker may be given this work item at all."""
@@ -948,9 +949,12 @@
 
     def _saw_run(self, i: int, run: float, expected: float) -> None:
         """Count a running time against what was expected; about the last ten count, and fifty of a kind."""
+        kind = self.kind_runs[self.kind_of[i]]
+        if not self.run_due[i]:
+            # Begin with a second as its kind runs it, so that the first running time does not decide alone.
+            self.run_seen[i], self.run_due[i] = 1000.0 * kind[0] / kind[1], 1000.0
         self.run_seen[i] = self.run_seen[i] * 0.9 + run
         self.run_due[i] = self.run_due[i] * 0.9 + expected
-        kind = self.kind_runs[self.kind_of[i]]
         kind[:] = kind[0] * 0.98 + run, kind[1] * 0.98 + expected
 
     def _judge(self, item: Item, tried: Tried, event: face.Ended) -> None:
