--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -1109,7 +1109,7 @@
         self.first_turn.append(int(rank_of("", entry.worker) * self.dispatchers))
         self.rank.append(rank_of(str(self.settings.get("me", "")), entry.worker))
         self.hashed.append(hash_of(entry.worker))
-        short = self.hashed[i] >> 16 & 0xFFFF
+        short = self.hashed[i] & 0xFFFF  # the low bits: names that differ in their last byte differ there
         self.short.append(short)
         # Of two that share a short name nothing is known by it.
         self.by_short[short] = -1 if short in self.by_short else i
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -106,6 +106,15 @@
         (json.dumps({**TOLD, "seed": "xyz"}), "xyz"),
         (json.dumps({**TOLD, "limits": {"sockets": "many"}}), "many"),
         (json.dumps({**TOLD, "known": {"members": [1]}}), "list of workers"),
+        (json.dumps({**TOLD, "by_key": "yes"}), "by_key"),
+        (json.dumps({**TOLD, "peers": "all"}), "peers"),
+        (json.dumps({**TOLD, "peers": ["127.0.0.1:1", "127.0.0.1:2"]}), "lists 2 dispatchers"),
+        (json.dumps({**TOLD, "peers": ["nowhere"]}), "nowhere"),
+        (json.dumps({**TOLD, "settings": {"weightSource": "lively"}}), "weightSource"),
+        (json.dumps({**TOLD, "settings": {"policyLimits": {"peers": 1}}}), "policyLimits.peers"),
+        (json.dumps({**TOLD, "settings": {"familyInfo": {"progressUs": "soon"}}}), "progressMs"),
+        (json.dumps({**TOLD, "settings": {"prices": {"handshake": -1}}}), "handshake"),
+        (json.dumps({**TOLD, "settings": {"balancers": 0}}), "balancers"),
         (json.dumps({name: TOLD[name] for name in ("listen", "discovery")}), "settings"),
     ],
 )
@@ -118,6 +127,22 @@
     assert word in said and said.count("\n") == 1 and said.startswith("dunepulley: ")
 
 
+@pytest.mark.parametrize(
+    ("more", "peers", "notes"),
+    [
+        ({}, (), False),
+        ({"peers": ["127.0.0.1:1", "127.0.0.1:2"]}, (("127.0.0.1", 1), ("127.0.0.1", 2)), True),
+    ],
+)
+def test_no_notes_unless_dispatchers_are_listed(tmp_path, more, peers, notes):
+    path = tmp_path / "config.json"
+    settings = {"balancers": 2, "me": 1, "policyLimits": {"peers": True}}
+    path.write_text(json.dumps(TOLD | more | {"settings": settings}))
+    start = config.read({"ROUTER_CONFIG": str(path)})
+    # Guards against a module that tells notes which nobody carries, and waits for none to come.
+    assert start.peers == peers and start.settings["policyLimits.peers"] is notes and not start.by_key
+
+
 def test_an_address_in_use_ends_with_a_plain_line(tmp_path, capfd):
     taken = socket.create_server(("127.0.0.1", 0))
     path = tmp_path / "config.json"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -39,6 +39,7 @@
         ),
         ("checked result=completed worker=w rttUs=1400", face.Probed("w", face.FINISHED, 1.4)),
         ("memo neighbour=2 octets=68", None),
+        ("memo neighbour=2 octets=00123405", face.Told(2, False, ((0x1234, 5),))),
     ],
 )
 def test_events(line, event):
@@ -54,6 +55,8 @@
         (face.Defer("a", 250.5), "push_back corr=a notBeforeForUs=250500"),
         (face.WriteOff("a"), "abort corr=a"),
         (face.Probe("w"), "sound_out worker=w"),
+        (face.Tell(-1, True, ((1, 2),)), "say recipient=all octets=01000102"),
+        (face.Tell(4, False, ()), "say recipient=4 octets=00"),
         (face.Note("two\nlines"), "write_log reasonText=two lines"),
     ],
 )
