--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -119,8 +119,7 @@
 def in_order(events: list[Any]) -> list[Any]:
     """The events of one batch as they are to be taken: all news before any new work item.
 
-    Guards against a dispatcher that wakes to a heap: it would hand off to workers that are said to leave
-    further down, and work for clients that have gone again.
+    Guards against a heap found on waking: workers that leave further down, clients that have gone again.
     """
     if len(events) < 2:
         return events
@@ -668,9 +667,8 @@
 
     def _slowness(self, i: int) -> float:
         """How long the worker runs a work item, as a multiple of what was expected of it."""
-        seen, due = self.run_seen[i], self.run_due[i]
-        if not due:
-            seen, due = self.kind_runs[self.kind_of[i]]
+        own = self.run_seen[i], self.run_due[i]
+        seen, due = own if own[1] else self.kind_runs[self.kind_of[i]]
         return seen / due
 
     def _able(self, item: Item, i: int) -> bool:
@@ -703,8 +701,8 @@
     def _next_of(self, among: list[int], item: Item, besides: int) -> int:
         """The next worker in turn that has room for the work item, or -1.
 
-        What speaks against a worker comes before turns: half a slot of doubt most, then that it is likely too
-        slow for the item, then a new connection or another zone, where one of these costs a point in 100.
+        What speaks against a worker comes before turns: half a slot of doubt, then likely too slow for the
+        item, then a new connection or another zone, where one of these costs a point in 100.
         """
         best, best_at, best_against = -1, NEVER, 99
         # Own zone first unsettles the turns, so only where all workers are in use: a few of them hold too few
@@ -758,9 +756,8 @@
     def _homes(self, item: Item) -> list[int]:
         """The workers for what an item is about: as many as its part of the traffic asks for, in their order.
 
-        They rank by a rendezvous hash, weighted by size. What an item needs stays where its like ran before;
-        all dispatchers agree on where without a word. Beyond these it would have to be fetched, and what is
-        kept there for others would go: once that spreads, all fetch and none is in time.
+        They rank by a rendezvous hash, weighted by size, alike for all dispatchers: what an item needs stays
+        there. Elsewhere it would be fetched, in place of others' needs; once that spreads, none is in time.
         """
         key = item.key
         ranked = self.homes.get(key)
