--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -653,7 +653,7 @@
         # at a time get whole parts; each span the turn goes to others, all counting alike. Two turns fall
         # into any span, so that each may spend half; half of that is left for chance and for workers slower
         # than expected.
-        most *= 0.4
+        most *= 0.25
         turn = int(age / span) * (int(0.618 * self.dispatchers) + 1)
         place = (self.settings.get("me", 0.0) + turn + self.first_turn[i]) % self.dispatchers
         if place + 1 <= most / part:
