--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -690,8 +690,8 @@
         """The next worker in turn with room among those in use, else among the others; or -1."""
         if item.key:
             homes = self._homes(item)
-            for first in range(0, len(homes), HOMES):
-                i = self._next_of(homes[first : first + HOMES], item, besides)
+            for first in range(0, len(homes)):
+                i = self._next_of(homes[first : first + 1], item, besides)
                 if i >= 0:
                     return i
             return -1
