--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -690,8 +690,8 @@
         """The next worker in turn with room among those in use, else among the others; or -1."""
         if item.key:
             homes = self._homes(item)
-            for first in range(0, len(homes)):
-                i = self._next_of(homes[first : first + 1], item, besides)
+            for first in range(0, len(homes), HOMES):
+                i = self._next_of(homes[first : first + HOMES], item, besides)
                 if i >= 0:
                     return i
             return -1
@@ -1138,7 +1138,7 @@
 # Two homes at a time, so that turns decide between them.
 HOMES = 2
 # So many times a key's part of the traffic its part of the workers may be: room for a busy spell.
-SPREAD = 2.0
+SPREAD = 3.0
 # Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
 FADE = 250.0
 
