--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -1138,7 +1138,7 @@
 # Two homes at a time, so that turns decide between them.
 HOMES = 2
 # So many times a key's part of the traffic its part of the workers may be: room for a busy spell.
-SPREAD = 3.0
+SPREAD = 1.4
 # Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
 FADE = 250.0
 
