--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -770,7 +770,7 @@
                 weighed.append((-log(chance.part() + 1e-12) / self.units[i], i))
             ranked = self.homes[key] = [i for _, i in sorted(weighed)]
         part = self.seen_key.get(key, 0.0) / self.seen_keys
-        most = int(SPREAD * part * len(ranked)) + HOMES
+        most = int(part * len(ranked)) + HOMES
         return [i for i in ranked[: 2 * most] if self.now >= self.out_until[i]][:most]
 
     def _choose_used(self) -> None:
@@ -1135,10 +1135,8 @@
 # Notes wait this long for more to go with them, and sums go out about as often: both together are well under
 # the second that a report is behind. Who has told nothing for so long is gone, or has nothing out.
 NOTE, TURN, SILENT = 200.0, 300.0, 4000.0
-# Two homes at a time, so that turns decide between them.
+# Two homes at a time, so that turns decide between them; and two more than a key's part: room for a busy spell.
 HOMES = 2
-# So many times a key's part of the traffic its part of the workers may be: room for a busy spell.
-SPREAD = 1.4
 # Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
 FADE = 250.0
 
