--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -1134,7 +1134,7 @@
 RELAYS = 3
 # Notes wait this long for more to go with them, and sums go out about as often: both together are well under
 # the second that a report is behind. Who has told nothing for so long is gone, or has nothing out.
-NOTE, TURN, SILENT = 120.0, 240.0, 4000.0
+NOTE, TURN, SILENT = 60.0, 160.0, 4000.0
 # Two homes at a time, so that turns decide between them; and two more than a key's part, for a busy spell.
 HOMES = 2
 # Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
