--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -1133,7 +1133,7 @@
 # So many sum up what all have out.
 RELAYS = 3
 # Notes wait this long for more to go with them, and sums go out as often: as soon as price and CPU bear, as
-# later ones let more hand-offs meet full workers. Who has told nothing for so long is gone, or has nothing out.
+# later ones let more hand-offs meet full workers. Who is silent for so long is gone, or has nothing out.
 NOTE, TURN, SILENT = 60.0, 160.0, 4000.0
 # Two homes at a time, so that turns decide between them; and two more than a key's part, for a busy spell.
 HOMES = 2
