--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -883,7 +883,7 @@
                     self.others[i] = max(0.0, held - self.told_own[i]) + max(0.0, self.untold[i])
             # All hear at once of a worker that has come free: those with held items look one after the other.
             if self.held:
-                self._at(self.now + 4.0 * TURN * self.chance.part(), self._serve_held)
+                self._at(self.now + 2.0 * TURN * self.chance.part(), self._serve_held)
         elif self.me in self.relays:
             old = self.out_of.get(event.sender, (0.0, ()))[1]
             self.out_of[event.sender] = (self.now, event.held)
