--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -1080,13 +1080,13 @@
         self.state[i] = entry.state
         # Not knowing the size means assuming little.
         self.slots[i] = self.kind_slots.get(entry.kind, 1.0)
-        size = entry.units if entry.units > 0.0 else 1.0
+        size = entry.units if 0.0 < entry.units < 1e9 else 1.0
         if self.live:
             # Listed is the size, less the more is held: the most that a kind was listed with is its size.
             most = self.kind_size[entry.kind] = max(size, self.kind_size.get(entry.kind, 0.0))
             if known and not self._noted():
                 # Counted, not sampled, but late.
-                held = (most / size - 1.0) * self.slots[i]
+                held = min(99.0, most / size - 1.0) * self.slots[i]
                 self.others[i] += 0.5 * (held - self.own_mean[i] - self.others[i])
             self.heard[i] = self.now
             size = most
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -562,3 +562,30 @@
     for number in range(9):
         rig.brain._heard_of("w0", report(5.0 + number, 0.0))
     assert rig.brain.others[0] > 3.0
+
+
+@pytest.mark.parametrize("units", [0.0, -1.0, float("nan"), float("inf"), 1e-300])
+@pytest.mark.parametrize("source", ["live", "rough", "nominal", 7.0, None])
+def test_absurd_sizes_leave_every_worker_its_turns(units, source):
+    rig = Rig(workers=3, weightSource=source)
+    for size in (units, 2.0, units):
+        rig.feed(ListNews(CHANGES, (entry(0, units=size),)), after=700.0)
+    rig.feed(after=PERIOD)
+    # Guards against a figure that turns all shares into none.
+    assert all(0.0 <= share <= 1.0 for share in rig.brain.share)
+    assert of(HandOff, rig.feed(Arrived("a", "look", 5000.0, key="k")))
+
+
+def test_absurd_notes_break_no_rule():
+    rig = Rig(workers=4, me=0.0, **NOTES)
+    chance = Chance(5)
+    for number in range(300):
+        entries = tuple([(int(chance.part() * 65536), int(chance.part() * 256)) for _ in range(3)])
+        own = tuple([(short, int(chance.part() * 256)) for short in rig.brain.short])
+        note = Told(int(chance.part() * 999), chance.part() < 0.5, entries + own)
+        rig.feed(note, Arrived(f"a{number}", ("look", "store", "pay")[number % 3], 900.0), after=40.0)
+        rig.feed(Alarm(rig.brain.token), after=10.0)
+    for _ in range(60):
+        rig.feed(Alarm(rig.brain.token), after=100.0)
+    # Each one is handed off or answered, whatever was told.
+    assert all(wi in rig.answer or rig.sent[wi] for wi in rig.arrived)
