The mixed test waits until sums are told, and fails where a kind that is told them gives up

Before, the three that sum up were still listening when it ended: a module that gave up wherever sums had come passed.

--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -23,6 +23,7 @@
 
 from dunepulley import interface as face
 from dunepulley import words
+from dunepulley.brain import SILENT
 from dunepulley.net.config import Start, listed
 from dunepulley.net.counters import Counters
 from dunepulley.net.peers import Peers
@@ -107,6 +108,9 @@
             await services[-1].start()
             stack.push_async_callback(services[-1].close)
         await until(lambda: len(watches) == len(shapes))
+        # Those that sum up listen for a while before they tell: the test is of what comes then.
+        ready = services[-1].core.clock() + SILENT / 2
+        await until(lambda: services[-1].core.clock() > ready)
 
         async def client(number, turn):
             # Seven tenths of what the workers can do, and nearly all that three can once one drains.
@@ -146,6 +150,7 @@
         counted = [service.counters for service in services]
         for shape, counters in zip(shapes, counted, strict=True):
             assert bool(counters["notes sent"]) == (shape == "n")
+            assert bool(counters["notes taken"]) == (shape == "n" and "n" in shapes[:3])
             assert not counters["faults"]
 
 
