--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -128,14 +128,19 @@
     return [event for event in events if type(event) is not face.Arrived] + arrived
 
 
-def rank_of(me: str, worker: str) -> float:
-    """Rendezvous hashing: the lower, the higher this dispatcher ranks the worker."""
+def part_of(hashed: int) -> float:
+    """A number in [0, 1) for a hash."""
     # FNV-1a leaves the high bits poor: two rounds of the generator mix them.
-    chance = Chance(hash_of(f"{me}/{worker}"))
+    chance = Chance(hashed)
     chance.part()
     return chance.part()
 
 
+def rank_of(me: str, worker: str) -> float:
+    """Rendezvous hashing: the lower, the higher this dispatcher ranks the worker."""
+    return part_of(hash_of(f"{me}/{worker}"))
+
+
 class Dispatcher:
     """Decides for one dispatcher, from its own events alone."""
 
@@ -655,7 +660,7 @@
         # than expected.
         most *= 0.25
         turn = int(age / span) * (int(0.618 * self.dispatchers) + 1)
-        place = (self.settings.get("me", 0.0) + turn + self.first_turn[i]) % self.dispatchers
+        place = (self.me + turn + self.first_turn[i]) % self.dispatchers
         if place + 1 <= most / part:
             return part
         return most if place < 1 else 0.0
@@ -763,11 +768,8 @@
         ranked = self.homes.get(key)
         if ranked is None:
             mixed = hash_of(key)
-            weighed = []
-            for i in self._ready():
-                chance = Chance(mixed ^ self.hashed[i])
-                chance.part()
-                weighed.append((-log(chance.part() + 1e-12) / self.units[i], i))
+            ready = self._ready()
+            weighed = [(-log(part_of(mixed ^ self.hashed[i]) + 1e-12) / self.units[i], i) for i in ready]
             ranked = self.homes[key] = [i for _, i in sorted(weighed)]
         part = self.seen_key.get(key, 0.0) / self.seen_keys
         most = int(part * len(ranked)) + HOMES
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -116,7 +116,7 @@
 class Peering(Protocol):
     """What carries notes to the other dispatchers."""
 
-    def send(self, me: int, note: face.Tell) -> None: ...
+    def send(self, note: face.Tell) -> None: ...
 
 
 class Open:
@@ -388,7 +388,7 @@
         self.hands.probe(command.worker, address)
 
     def _write_tell(self, command: face.Tell) -> None:
-        self.peers.send(int(self.settings.get("me", 0)), command)
+        self.peers.send(command)
 
     def _write_alarm(self, command: face.SetAlarm) -> None:
         def ring() -> None:
--- a/dunepulley/net/peers.py
+++ b/dunepulley/net/peers.py
@@ -18,8 +18,9 @@
     """Sends notes to the dispatchers listed, by their numbers, and takes notes from them alone."""
 
     def __init__(
-        self, all_of: tuple[tuple[str, int], ...], put: Callable[[Any], None], counters: Counters
+        self, me: int, all_of: tuple[tuple[str, int], ...], put: Callable[[Any], None], counters: Counters
     ) -> None:
+        self.me = me
         self.all_of = all_of
         self.number_of = {address: number for number, address in enumerate(all_of)}
         self.put = put
@@ -33,13 +34,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
 
-    def send(self, me: int, note: face.Tell) -> None:
+    def send(self, note: face.Tell) -> None:
         """Send a note to one other or to all."""
         if self.transport is None:
             return
         octets = words.octets_of(note)
         for number in range(len(self.all_of)) if note.to < 0 else (note.to,):
-            if number != me and number < len(self.all_of):
+            if number != self.me and number < len(self.all_of):
                 self.counters["notes sent"] += 1
                 self.transport.sendto(octets, self.all_of[number])
 
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -39,7 +39,8 @@
         self.core = Core(start.seed, start.settings, start.known, self.counters)
         self.workers = Workers(start.settings, sockets, self.core.put, self.counters)
         self.core.hands = self.workers
-        self.peers = self.core.peers = Peers(start.peers, self.core.put, self.counters)
+        me = self.core.dispatcher.me
+        self.peers = self.core.peers = Peers(me, start.peers, self.core.put, self.counters)
         self.clients = Clients(self.core, start.settings, sockets, self.counters, start.by_key)
         self.discovery = start.discovery
         self.watch: asyncio.Task | None = None
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -167,7 +167,7 @@
 )
 def test_bad_notes_and_those_of_strangers_are_dropped_and_counted(octets, news):
     taken, counters = [], Counters()
-    peers = Peers((("127.0.0.1", 1), ("127.0.0.1", 2)), taken.append, counters)
+    peers = Peers(0, (("127.0.0.1", 1), ("127.0.0.1", 2)), taken.append, counters)
     peers.datagram_received(octets, ("127.0.0.1", 2))
     peers.datagram_received(octets, ("127.0.0.1", 3))
     assert taken == ([news] if news else []) and counters["notes dropped"] == 2 - len(taken)
