A second address: HEALTH, DUMP, LEAVE and JOIN; figures, and a drain that loses nothing

Clients.leave is the one state for LEAVE and SIGTERM; JOIN undoes a drain. A part of a request is no longer cut off by the close before an end: it is answered.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -400,6 +400,11 @@
         if event.result == face.NOT_CONNECTED:
             self._sicken(i)
 
+    def listed_and_avoided(self) -> tuple[int, int]:
+        """How many workers are listed, and how many of them get no usual turns: draining, sick, on trial."""
+        here = [i for i, state in enumerate(self.state) if state != face.LEFT]
+        return len(here), sum([self.state[i] != face.READY or self.out_step[i] > 0.0 for i in here])
+
     # ---------------------------------------------------------------- the course of a work item
 
     def _course(self, item: Item) -> Generator[tuple, Any, None]:
@@ -735,9 +740,8 @@
         """Where the wait is expected to be the shortest, if it is within the limit; else -1."""
         best, best_wait = -1, limit
         for i in self._homes(item) if item.key else range(len(self.state)):
-            state = self.state[i]
             # A queue that is not told shows in how long the last hand-offs there took to begin.
-            if state != face.READY or self.wait_seen[i] >= best_wait:
+            if self.state[i] != face.READY or self.wait_seen[i] >= best_wait:
                 continue
             slots = self.slots[i]
             ahead = self.own[i] + self.others[i] + item.slots - slots
@@ -809,9 +813,7 @@
     def _heard_of(self, worker: str, report: dict[str, float]) -> None:
         """Take in a load report."""
         i = self.index.get(worker)
-        if i is None:
-            return
-        if report == self.last_report[i]:
+        if i is None or report == self.last_report[i]:
             return  # a report is refreshed now and then: the same figures again say nothing new
         self.last_report[i] = report
         kind = self.kind_of[i]
@@ -919,9 +921,8 @@
         """What others have at a worker is believed less as the report ages: it fades to the mean of all."""
         ready = self._ready()
         # A large fleet is looked over less often, so that it costs what sixteen workers do.
-        pause = FADE * max(1.0, len(ready) / 16.0)
-        self._at(self.now + pause, self._fade)
-        steps = pause / FADE
+        steps = max(1.0, len(ready) / 16.0)
+        self._at(self.now + steps * FADE, self._fade)
         slots = sum([self.slots[i] for i in ready])
         mean = sum([self.others[i] for i in ready]) / slots if slots else 0.0
         if self.held and not any(self.own) and all([self.now - self.heard[i] > 4000.0 for i in ready]):
@@ -1002,8 +1003,7 @@
         rates = []
         for i in ready:
             # At light load the delivered rate only echoes what was sent: count it for the busy part only.
-            slots = self.slots[i]
-            busy = min(1.0, max(self.busy[i] / slots, 0.25))
+            busy = min(1.0, max(self.busy[i] / self.slots[i], 0.25))
             rates.append(self.rate[i] / busy if self.rate[i] >= 0.0 else -1.0)
         known = [rate for rate in rates if rate >= 0.0]
         mean = sum(known) / len(known) if known else 1.0
@@ -1022,9 +1022,7 @@
             over.append(self._over_limit(i, sum_queues, len(queues)))
         total = sum(wanted) or 1.0
         for k, i in enumerate(ready):
-            goal = wanted[k] / total
-            if over[k]:
-                goal *= 0.9
+            goal = wanted[k] / total * (0.9 if over[k] else 1.0)
             share = self.share[i] + 0.5 * (goal - self.share[i])
             even = self.units[i] / units
             if not over[k]:
--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import re
-import socket
 from typing import Any
 from urllib.parse import unquote
 
@@ -21,6 +20,8 @@
 from dunepulley.net.config import categories_of
 from dunepulley.net.core import Answer, Core, Gone, Job, Taken
 from dunepulley.net.counters import Counters
+from dunepulley.net.figures import outcome
+from dunepulley.net.listener import Listener
 
 BODY_LIMIT = 65536
 # A usual head has a few hundred bytes; one without end must not fill the memory.
@@ -51,6 +52,10 @@
 BACKSTOP_MS = 30.0
 # Only a connection idle for longer may be closed for room: a request may be on its way over a newer one.
 IDLE_S = 1.0
+# Why clients are sent away, if they are: an operator asked, or the process is to end.
+SERVING, DRAINED, ENDING = "", "drained", "ending"
+# What an answer is to the work item's category.
+ANSWERED, DEFERRED, WRITTEN_OFF = "answered", "deferred", "errored"
 
 
 def framing_of(head: bytes) -> int:
@@ -104,7 +109,8 @@
     is turned away here, which costs neither a task nor a parser, and nothing of it can reach a worker.
     """
 
-    __slots__ = ("front", "transport", "handler", "raw", "head", "chunk", "length", "busy", "known", "timer")
+    __slots__ = ("front", "transport", "handler", "raw", "head", "chunk", "length")
+    __slots__ += ("busy", "known", "worker", "timer")
 
     def __init__(self, front: Front) -> None:
         self.front = front
@@ -115,6 +121,7 @@
         self.head = self.chunk = self.length = 0
         self.busy = False
         self.known = False  # whether it has brought a work item or a callback
+        self.worker = False  # whether it has brought a callback
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -276,10 +283,14 @@
                 return True
         return False
 
-    def close_idle(self) -> None:
-        """Close all that wait for a next request; a client whose request crosses this sends it again."""
+    def close_idle(self, workers: bool = False) -> None:
+        """Close all that wait for a next request; a client whose request crosses this sends it again.
+
+        Not those of which a part of a request has come: it would be lost once the rest is written.
+        """
         for connection in [*self.strangers, *self.idle]:
-            connection.transport.close()
+            if not connection.raw and (workers or not connection.worker):
+                connection.transport.close()
 
 
 class Clients:
@@ -297,15 +308,17 @@
             str(number) if name is None else name: effect == face.TICKETED
             for number, (name, effect) in enumerate(zip(names, effects, strict=True))
         }
-        # Each work item in hand holds a connection: a third of the descriptors at most. Five eighths are for
-        # all that comes in, callbacks and who says nothing included; the rest is for workers and discovery.
+        # Each work item in hand holds a connection: a third of the descriptors at most. Nine sixteenths are
+        # for all that comes in, callbacks and who says nothing included, one is for operators, the rest for
+        # workers and discovery.
         self.most = min(sockets // 3, int(settings.get("policyLimits.openCap", sockets)))
         self.waiting: dict[str, Job] = {}
         self.none_waiting = asyncio.Event()
-        self.leaving = self.stopped = False
+        self.leaving, self.stopped = SERVING, False
+        self.timer: asyncio.TimerHandle | None = None
         self.server = Front(
             self._serve,
-            sockets * 5 // 8,
+            sockets * 9 // 16,
             counters,
             handler_cancellation=True,
             request_factory=_request,
@@ -313,50 +326,45 @@
             auto_decompress=False,
             keepalive_timeout=75.0,
         )
-        self.listener: socket.socket | None = None
-        self.accepting: asyncio.Task | None = None
-
-    def listen(self, host: str, port: int) -> int:
-        """Take connections at the address that clients are told; the port."""
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self.listener = socket.create_server((host, port), family=family, backlog=1024)
-        self.listener.setblocking(False)
-        self.accepting = asyncio.create_task(self._accept(self.listener))
-        return self.listener.getsockname()[1]
-
-    async def _accept(self, listener: socket.socket) -> None:
-        """Take connections one by one.
-
-        asyncio's own server takes a thousand at one go, and without a descriptor left tries as often and then
-        takes none for a second; callbacks would wait as long.
+        self.listener = Listener("clients", self.server.connection, self.server.make_room, counters)
+
+    # ---------------------------------------------------------------- leaving
+
+    def leave(self, why: str, serving: float) -> None:
+        """Send clients away: nobody new is to come, and after `serving` seconds all connections are closed.
+
+        Who has a connection is served until then. A state entered before stays as far as it has come; an end
+        takes the place of a drain, never the other way round.
         """
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                connection, _ = await loop.sock_accept(listener)
-            except OSError as problem:
-                self.counters["not accepted"] += 1
-                log.say("clients", f"a connection has to wait: {problem.strerror}")
-                self.server.make_room()
-                await asyncio.sleep(0.02)
-                continue
-            try:
-                await loop.connect_accepted_socket(self.server.connection, connection)
-            except OSError:
-                connection.close()
-
-    # ---------------------------------------------------------------- the end
-
-    def leave(self) -> None:
-        """From now on nobody new is to be sent here; who is connected is served as before."""
-        self.leaving = True
-
-    def last_call(self) -> None:
+        if self.leaving not in (SERVING, why) and why == DRAINED:
+            return
+        entered, self.leaving = self.leaving != why, why
+        if self.stopped:
+            self._tell_waiting()
+        elif entered:
+            self._stop_timer()
+            self.timer = asyncio.get_running_loop().call_later(serving, self._last_call)
+
+    def join(self) -> bool:
+        """Take clients again after a drain; an end is not undone."""
+        if self.leaving == DRAINED:
+            self._stop_timer()
+            self.leaving, self.stopped = SERVING, False
+            self.none_waiting.clear()
+        return self.leaving == SERVING
+
+    def _last_call(self) -> None:
         """From now on no work item is taken and every answer ends its connection; callbacks still come."""
+        self.timer = None
         self.stopped = True
         self.server.close_idle()
         self._tell_waiting()
 
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
     def write_off(self) -> None:
         """No time is left: whatever waits is answered with no promise."""
         for job in list(self.waiting.values()):
@@ -365,12 +373,9 @@
 
     async def close(self) -> None:
         """Close all connections, those with an answer under way a moment later."""
-        if self.accepting is not None:
-            self.accepting.cancel()
-            await asyncio.gather(self.accepting, return_exceptions=True)
-        if self.listener is not None:
-            self.listener.close()
-        self.server.close_idle()
+        self._stop_timer()
+        await self.listener.close()
+        self.server.close_idle(workers=True)
         await self.server.shutdown(0.2)
 
     def _tell_waiting(self) -> None:
@@ -382,23 +387,31 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol.transport.get_protocol()
         try:
-            response = await self._route(request, connection)
+            response, ended = await self._route(request, connection)
+            # After SIGTERM who is connected may have nowhere else to go for a while.
+            if not connection.worker and (self.stopped or self.leaving not in (SERVING, ENDING)):
+                response.force_close()
+            await response.prepare(request)
+            await response.write_eof()
+            if ended:
+                self.counters[ended] += 1
         finally:
             connection.rest()
-        if self.stopped:
-            response.force_close()
         return response
 
-    async def _route(self, request: web.BaseRequest, connection: Connection) -> web.StreamResponse:
+    async def _route(
+        self, request: web.BaseRequest, connection: Connection
+    ) -> tuple[web.StreamResponse, str]:
+        """What to answer, and what that is to a category: counted once its last byte is written."""
         target = request.raw_path
         path = target.partition("?")[0]
         if path == "/_health":
-            return web.Response(status=200 if self.core.can_serve() and not self.leaving else 503)
+            return web.Response(status=200 if self.can_take() else 503), ""
         try:
             if path == callbacks.PATH and request.method == "POST":
                 response = self.callbacks.take(await self._body(request))
-                connection.known = True
-                return response
+                connection.known = connection.worker = True
+                return response, ""
             if request.method != "POST":
                 raise MalformedError(405, "work items come by POST")
             job = await self._read(request, target, path)
@@ -408,7 +421,8 @@
             response = web.Response(status=status, text=reason + "\n")
             # Who sends what cannot be used is not given a descriptor to keep.
             response.force_close()
-            return response
+            return response, ""
+        category = job.arrived.category
         if self.stopped or len(self.waiting) >= self.most:
             # Like the simulator's limit on open requests: turned away before it reaches the module. Nothing
             # has been sent of it, so trying again is harmless.
@@ -416,9 +430,14 @@
             log.say("clients", "a work item was turned away: ending, or too many are open")
             response = web.Response(status=503)
             response.force_close()
-            return response
+            return response, outcome(category, DEFERRED)
         connection.known = True
-        return await self._answer(job)
+        response, how = await self._answer(job)
+        return response, outcome(category, how)
+
+    def can_take(self) -> bool:
+        """Whether clients are to be sent here."""
+        return self.core.can_serve() and self.leaving == SERVING
 
     async def _body(self, request: web.BaseRequest) -> bytes:
         """A request's body, which has come with its head; one in chunks may be too large."""
@@ -469,8 +488,8 @@
             raise MalformedError(409, "this id is in hand")
         return Job(arrived, came, target, passed_on, body)
 
-    async def _answer(self, job: Job) -> web.Response:
-        """Wait for the final answer; the one place where a waiting work item is given back."""
+    async def _answer(self, job: Job) -> tuple[web.Response, str]:
+        """Wait for the final answer, and which it is; the one place where a waiting item is given back."""
         wi = job.arrived.wi
         self.waiting[wi] = job
         self.counters["taken"] += 1
@@ -489,16 +508,13 @@
                 self.core.put(Gone(job))
         return self._response(answer)
 
-    def _response(self, answer: Answer) -> web.Response:
+    def _response(self, answer: Answer) -> tuple[web.Response, str]:
         if answer.kind is face.Ended:
-            self.counters["answered 200"] += 1
-            return web.Response(body=answer.body)
+            return web.Response(body=answer.body), ANSWERED
         if answer.kind is face.Defer:
-            self.counters["answered 503"] += 1
             headers = {"Retry-After": f"{answer.wait / 1000.0:.3f}"} if answer.wait > 0.0 else None
-            return web.Response(status=503, headers=headers)
-        self.counters["answered 500"] += 1
-        return web.Response(status=500)
+            return web.Response(status=503, headers=headers), DEFERRED
+        return web.Response(status=500), WRITTEN_OFF
 
 
 def _request(message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
--- a/dunepulley/net/config.py
+++ b/dunepulley/net/config.py
@@ -54,6 +54,7 @@
     path: str = ""
     peers: tuple[tuple[str, int], ...] = ()
     by_key: bool = False
+    console: tuple[str, int] | None = None
 
     def told(self) -> str:
         """What was told, for a person."""
@@ -62,7 +63,8 @@
             f"{self.name} listens at {self.listen[0]}:{self.listen[1]}, discovery at {self.discovery}\n"
             f"{len(self.known.news.entries)} workers known at version {self.known.revision}\n"
             f"categories: {', '.join(names)}\n"
-            f"at most {self.sockets} descriptors"
+            f"at most {self.sockets} descriptors\n"
+            + ("no console" if self.console is None else "console at {}:{}".format(*self.console))
         )
 
 
@@ -85,6 +87,7 @@
         listen = environment.get("ROUTER_LISTEN") or told["listen"]
         discovery = environment.get("ROUTER_DISCOVERY") or told["discovery"]
         address_of(discovery)
+        console = environment.get("ROUTER_CONSOLE") or told.get("console")
         known = told.get("known")
         settings = settings_of(told["settings"])
         peers = peers_of(told.get("peers"), settings)
@@ -102,6 +105,7 @@
             path,
             peers,
             by_key,
+            address_of(console) if console else None,
         )
     except KeyError as problem:
         raise UnusableError(f"{path}: {problem} is missing") from problem
@@ -117,6 +121,8 @@
 
 def address_of(text: str) -> tuple[str, int]:
     """Host and port of `host:port`."""
+    if not isinstance(text, str):
+        raise ValueError(f"{text!r} is no host:port")
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal() or not 0 < int(port) < 65536:
         raise ValueError(f"{text!r} is no host:port")
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -105,6 +105,12 @@
     report: dict[str, float] | None
 
 
+class Asked(NamedTuple):
+    """Somebody wants to know how many workers are listed, and how many of them are avoided."""
+
+    answer: asyncio.Future[tuple[int, int]]
+
+
 class Hands(Protocol):
     """What carries hand-offs to the workers."""
 
@@ -291,6 +297,10 @@
             (self.ready.add if entry.state == face.READY else self.ready.discard)(entry.worker)
         self.events.append(message.news)
 
+    def _read_asked(self, message: Asked) -> None:
+        if not message.answer.done():
+            message.answer.set_result(self.dispatcher.listed_and_avoided())
+
     def _read_event(self, message: object) -> None:
         self.events.append(message)
 
@@ -408,6 +418,7 @@
     Over: Core._read_over,
     Told: Core._read_told,
     Listed: Core._read_listed,
+    Asked: Core._read_asked,
     face.Probed: Core._read_event,
     face.Told: Core._read_event,
     face.Alarm: Core._read_event,
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -10,15 +10,16 @@
 import signal
 from typing import Any
 
-from dunepulley.net import config, log
-from dunepulley.net.clients import Clients
-from dunepulley.net.core import Core
+from dunepulley.net import config, figures, log
+from dunepulley.net.clients import DRAINED, ENDING, Clients
+from dunepulley.net.console import Answer, Console
+from dunepulley.net.core import Asked, Core
 from dunepulley.net.counters import Counters
 from dunepulley.net.discovery import Discovery
 from dunepulley.net.peers import Peers
 from dunepulley.net.workers import Workers
 
-# Clients' connections go on coming for 0.4 s after SIGTERM.
+# The front goes on sending connections for 0.4 s after SIGTERM, for 0.3 s after our health says no.
 STILL_COMING_S = 0.5
 # SIGKILL comes no sooner than the longest expiry, of which 3 s count, and 0.7 s after SIGTERM. What is not
 # answered by then is written off a little before, so that its client hears of it.
@@ -42,11 +43,13 @@
         me = self.core.dispatcher.me
         self.peers = self.core.peers = Peers(me, start.peers, self.core.put, self.counters)
         self.clients = Clients(self.core, start.settings, sockets, self.counters, start.by_key)
+        calls = {"HEALTH": self._health, "DUMP": self._dump, "LEAVE": self._leave, "JOIN": self._join}
+        self.console = Console(calls, max(4, sockets // 16), self.counters)
         self.discovery = start.discovery
         self.watch: asyncio.Task | None = None
         self.task: asyncio.Task | None = None
         self.ended = asyncio.Event()
-        self.port = 0
+        self.port = self.console_port = 0
 
     async def start(self) -> None:
         """Begin to listen and to watch."""
@@ -55,12 +58,17 @@
         self._watch(self.start_with.known.revision)
         host, port = self.start_with.listen
         try:
-            self.port = self.clients.listen(host, port)
+            self.port = self.clients.listener.listen(host, port)
             if self.start_with.peers:
                 await self.peers.open((host, self.port))
+            if self.start_with.console:
+                host, port = self.start_with.console
+                self.console_port = self.console.listener.listen(host, port)
         except OSError as problem:
             raise config.UnusableError(f"cannot listen at {host}:{port}: {problem.strerror}") from problem
-        self.clients.accepting.add_done_callback(self._task_ended)
+        for listener in (self.clients.listener, self.console.listener):
+            if listener.task is not None:
+                listener.task.add_done_callback(self._task_ended)
 
     def _watch(self, revision: int) -> None:
         """Watch the present discovery from a version on; the watch before it, if any, is given back."""
@@ -94,6 +102,31 @@
             log.say("fault", f"a task that should run for ever ended: {task.exception()!r}")
             self.ended.set()
 
+    # ---------------------------------------------------------------- operators' calls
+
+    async def _health(self) -> Answer:
+        able = self.clients.can_take()
+        return able, "ready" if able else self.clients.leaving or "no worker is known that takes work"
+
+    async def _dump(self) -> Answer:
+        asked = Asked(asyncio.get_running_loop().create_future())
+        self.core.put(asked)
+        listed, avoided = await asked.answer
+        told = figures.lines(
+            self.counters, self.clients.ticketed, len(self.clients.waiting), listed, avoided
+        )
+        return True, "\n".join(["figures", *told, "EOF"])
+
+    async def _leave(self) -> Answer:
+        self.clients.leave(DRAINED, STILL_COMING_S)
+        return True, self.clients.leaving
+
+    async def _join(self) -> Answer:
+        joined = self.clients.join()
+        return joined, "joined" if joined else self.clients.leaving
+
+    # ---------------------------------------------------------------- the end
+
     async def finish(self) -> None:
         """What SIGTERM asks: go on for a while, then take no more and answer what was taken."""
         told = config.categories_of(self.start_with.settings, "expiryMs")
@@ -101,11 +134,9 @@
         longest = min(LONGEST_S, max(expiries, default=LONGEST_S))
         left = longest + SPARE_S - BEFORE_S
         serving = max(STILL_COMING_S, left - FINISH_S)
-        self.clients.leave()
-        await asyncio.sleep(serving)
-        self.clients.last_call()
+        self.clients.leave(ENDING, serving)
         try:
-            async with asyncio.timeout(left - serving):
+            async with asyncio.timeout(left):
                 await self.clients.none_waiting.wait()
         except TimeoutError:
             log.say("service", f"{len(self.clients.waiting)} work items were written off at the end")
@@ -114,6 +145,7 @@
     async def close(self) -> None:
         """Give back every socket and task."""
         await self.clients.close()
+        await self.console.close()
         self.peers.close()
         tasks = [task for task in (self.task, self.watch) if task is not None]
         for task in tasks:
--- a/dunepulley/net/workers.py
+++ b/dunepulley/net/workers.py
@@ -55,9 +55,10 @@
     A connection that breaks in between proves that the hand-off never ran.
     """
 
-    def __init__(self, ho: Ho) -> None:
+    def __init__(self, ho: Ho, counters: Counters) -> None:
         super().__init__(ho.job.body)
         self.ho = ho
+        self.counters = counters
 
     async def write_with_length(self, writer: Any, content_length: int | None) -> None:
         if self.ho.stopped:
@@ -74,6 +75,8 @@
             await writer.drain()
         # A transport that closes while it writes has dropped what was left.
         self.ho.written = not transport.is_closing()
+        if self.ho.written:
+            self.counters["sends"] += 1
 
 
 class Workers:
@@ -157,7 +160,7 @@
             )
             async with self.session.post(
                 url,
-                data=Body(ho),
+                data=Body(ho, self.counters),
                 headers=headers,
                 allow_redirects=False,
                 timeout=limit,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -304,6 +304,7 @@
             self.sockets,
             listed(members(*known), DISK_LIST),
             self.settings,
+            console=("127.0.0.1", 0),
         )
         self.service = Service(start)
         await self.service.start()
@@ -324,6 +325,21 @@
         """An answer over a new connection."""
         return await say_to(self.service.port, raw)
 
+    async def call(self, line: str) -> str:
+        """What the console answers."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.service.console_port)
+        writer.write(line.encode())
+        writer.write_eof()
+        told = (await reader.read()).decode()
+        writer.close()
+        return told
+
+    async def figures(self) -> dict[str, str]:
+        """The figures that the console tells, by name."""
+        first, *lines, last = (await self.call("DUMP")).splitlines()
+        assert first.startswith("200") and last == "EOF"
+        return {name.removeprefix("edge_router."): told for name, told in [line.split(":") for line in lines]}
+
     async def event(self, worker: str, state: str, wi: str = "a", **more: object) -> Call:
         """A worker's callback."""
         body = json.dumps({"id": wi, "from": worker, "state": state} | more).encode()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -214,7 +214,7 @@
 
 @on_loop
 async def test_a_flood_leaves_room_for_usual_clients_and_callbacks():
-    async with Town(taken, sockets=32) as town:  # twenty connections come in at most
+    async with Town(taken, sockets=32) as town:  # eighteen connections come in at most
         kept, kept_writer = await town.connect()
         kept_writer.write(request("/look/1"))
         await until(lambda: town.workers[0].seen)
@@ -226,7 +226,7 @@
                 assert (await read_call(flood[-1][0])).target == "200"
         told = await asyncio.gather(*[town.say(request("/odd/1", wi=f"o{n}")) for n in range(60)])
         assert {call.target for call in told} == {"404"}
-        assert len(town.clients.server.everyone) <= town.clients.server.limit == 20
+        assert len(town.clients.server.everyone) <= town.clients.server.limit == 18
         assert (await town.event("w0", "done", result="made")).target == "204"
         assert (await read_call(kept)).target == "200"
         for _, writer in (*flood, (kept, kept_writer)):
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -145,7 +145,7 @@
     async def write():
         job = Job(face.Arrived("a", "look", 1.0), 0.0, "/look/1", {}, b"x")
         ho = Ho(job, 0, "w", "127.0.0.1:1", 1.0, 0.0)
-        await Body(ho).write_with_length(Writer(breaks), None)
+        await Body(ho, Counters()).write_with_length(Writer(breaks), None)
         assert ho.touched and ho.written is not breaks
 
     asyncio.run(write())
