An upgrade: the new process takes the listening socket over, callbacks reach the holder

The module hears (Cold) which of two processes may spend the cold budget; both hold half of the connections allowed. The accept loop no longer waits in a task: stopped between accepting and going on, it dropped a connection.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -207,7 +207,7 @@
         self.kind_slots: dict[str, float] = {}
         self.kind_size: dict[str, float] = {}
         self.kind_runs: dict[str, list[float]] = {}
-        self.cold = say("rules.coldMs", 0.0)
+        self.cold, self.cold_from = say("rules.coldMs", 0.0), 0.0
         self.turn_now = 0.0
         # The workers in use, and the others.
         self.used: list[int] = []
@@ -264,6 +264,10 @@
             self.commands.append(face.SetAlarm(self.alarm_at - now, self.token))
         return self.commands
 
+    def _on_cold(self, event: face.Cold) -> None:
+        # What the other process sent counts for one span more.
+        self.cold_from = self.now + self.settings.get("rules.tipAfterMs", 1000.0) if event.ours else NEVER
+
     def _on_alarm(self, event: face.Alarm) -> None:
         if event.token == self.token:
             self.alarm_at = NEVER
@@ -641,7 +645,7 @@
             # It grows with age; within a span the start of the span counts.
             self.part_until[i] = self.now + span - max(0.0, self._cold_age(i)) % span
             self.part[i] = self._cold_part(i, span)
-        if self.part[i] <= 0.0:
+        if self.part[i] <= 0.0 or self.now < self.cold_from:
             return False
         sent = self.sent_cold[i]
         while sent and sent[0][0] < self.now - span:
@@ -1144,6 +1148,7 @@
     face.Alarm: Dispatcher._on_alarm,
     face.Arrived: Dispatcher._on_arrived,
     face.Began: Dispatcher._on_began,
+    face.Cold: Dispatcher._on_cold,
     face.Ended: Dispatcher._on_ended,
     face.ListNews: Dispatcher._on_list,
     face.Probed: Dispatcher._on_probed,
--- a/dunepulley/interface.py
+++ b/dunepulley/interface.py
@@ -127,6 +127,12 @@
     held: tuple[tuple[int, int], ...]
 
 
+class Cold(NamedTuple):
+    """Whether this process may spend the dispatcher's budget for cold workers; beside it another one runs."""
+
+    ours: bool
+
+
 class Alarm(NamedTuple):
     """An alarm set earlier has rung."""
 
--- a/dunepulley/net/callbacks.py
+++ b/dunepulley/net/callbacks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import orjson
@@ -45,13 +45,18 @@
 
 
 class Callbacks:
-    """Answers every callback at once; what it says is for the module's task."""
+    """Answers every callback; what it says is for the module's task of the process that holds the item."""
 
-    def __init__(self, put: Callable[[Any], None], counters: Counters) -> None:
+    def __init__(
+        self, put: Callable[[Any], None], holds: Callable[[str], bool], counters: Counters
+    ) -> None:
         self.put = put
+        self.holds = holds
         self.counters = counters
+        # What another process of this dispatcher answers; None where none holds the item.
+        self.elsewhere: Callable[[bytes], Awaitable[int | None]] | None = None
 
-    def take(self, body: bytes) -> web.Response:
+    async def take(self, body: bytes) -> web.Response:
         """Take one callback; one that cannot be read is answered like a work item that cannot."""
         try:
             told = read(body)
@@ -59,5 +64,17 @@
             self.counters["callbacks malformed"] += 1
             raise
         self.counters[f"callbacks {told.state}"] += 1
+        if self.elsewhere is not None and not self.holds(told.wi):
+            status = await self.elsewhere(body)
+            if status is not None:
+                return web.Response(status=status)
         self.put(told)
         return web.Response(status=204)
+
+    def hear(self, body: bytes) -> int | None:
+        """The answer to a callback that reached another process; None if its item is not held here."""
+        told = read(body)
+        if not self.holds(told.wi):
+            return None
+        self.put(told)
+        return 204
--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -52,8 +52,9 @@
 BACKSTOP_MS = 30.0
 # Only a connection idle for longer may be closed for room: a request may be on its way over a newer one.
 IDLE_S = 1.0
-# Why clients are sent away, if they are: an operator asked, or the process is to end.
-SERVING, DRAINED, ENDING = "", "drained", "ending"
+# Why clients are sent away, if they are: an operator asked, the process is to end, or another serves
+# in its place.
+SERVING, DRAINED, ENDING, HANDED = "", "drained", "ending", "handed over"
 # What an answer is to the work item's category.
 ANSWERED, DEFERRED, WRITTEN_OFF = "answered", "deferred", "errored"
 
@@ -233,7 +234,7 @@
     def __init__(self, handler: Any, limit: int, counters: Counters, **more: Any) -> None:
         super().__init__(handler, **more)
         self.loop = asyncio.get_running_loop()
-        self.limit = limit
+        self.limit = self.full = limit
         self.counters = counters
         self.everyone: set[Connection] = set()
         # Without a request in hand, and since when, the longest first: those that have brought neither a work
@@ -283,6 +284,12 @@
                 return True
         return False
 
+    def share(self, part: float) -> None:
+        """Hold this part of the connections allowed: another process of this dispatcher holds the rest."""
+        self.limit = int(self.full * part)
+        while len(self.everyone) > self.limit and self.make_room():
+            pass
+
     def close_idle(self, workers: bool = False) -> None:
         """Close all that wait for a next request; a client whose request crosses this sends it again.
 
@@ -302,7 +309,7 @@
         self.by_key = by_key
         self.core = core
         self.counters = counters
-        self.callbacks = callbacks.Callbacks(core.put, counters)
+        self.callbacks = callbacks.Callbacks(core.put, self.holds, counters)
         names, effects = [categories_of(settings, what) for what in ("name", "effect")]
         self.ticketed = {
             str(number) if name is None else name: effect == face.TICKETED
@@ -333,21 +340,22 @@
     def leave(self, why: str, serving: float) -> None:
         """Send clients away: nobody new is to come, and after `serving` seconds all connections are closed.
 
-        Who has a connection is served until then. A state entered before stays as far as it has come; an end
-        takes the place of a drain, never the other way round.
+        Who has a connection is served until then. A state entered before stays as far as it has come; what is
+        undone less easily takes the place of what is undone more easily, never the other way round.
         """
-        if self.leaving not in (SERVING, why) and why == DRAINED:
-            return
-        entered, self.leaving = self.leaving != why, why
+        rank = (SERVING, DRAINED, ENDING, HANDED).index
+        entered = rank(why) > rank(self.leaving)
+        if entered:
+            self.leaving = why
         if self.stopped:
             self._tell_waiting()
         elif entered:
             self._stop_timer()
             self.timer = asyncio.get_running_loop().call_later(serving, self._last_call)
 
-    def join(self) -> bool:
-        """Take clients again after a drain; an end is not undone."""
-        if self.leaving == DRAINED:
+    def join(self, after: str = DRAINED) -> bool:
+        """Take clients again after a drain, or after what is named; anything else is not undone."""
+        if self.leaving == after:
             self._stop_timer()
             self.leaving, self.stopped = SERVING, False
             self.none_waiting.clear()
@@ -374,7 +382,7 @@
     async def close(self) -> None:
         """Close all connections, those with an answer under way a moment later."""
         self._stop_timer()
-        await self.listener.close()
+        self.listener.close()
         self.server.close_idle(workers=True)
         await self.server.shutdown(0.2)
 
@@ -406,10 +414,12 @@
         target = request.raw_path
         path = target.partition("?")[0]
         if path == "/_health":
-            return web.Response(status=200 if self.can_take() else 503), ""
+            # Handed over, the process that took over says yes itself: here only old connections ask.
+            well = self.core.can_serve() and self.leaving in (SERVING, HANDED)
+            return web.Response(status=200 if well else 503), ""
         try:
             if path == callbacks.PATH and request.method == "POST":
-                response = self.callbacks.take(await self._body(request))
+                response = await self.callbacks.take(await self._body(request))
                 connection.known = connection.worker = True
                 return response, ""
             if request.method != "POST":
@@ -436,8 +446,12 @@
         return response, outcome(category, how)
 
     def can_take(self) -> bool:
-        """Whether clients are to be sent here."""
-        return self.core.can_serve() and self.leaving == SERVING
+        """Whether clients are to be sent to this process."""
+        return self.core.can_serve() and self.listener.taking and self.leaving == SERVING
+
+    def holds(self, wi: str) -> bool:
+        """Whether a work item is in hand here."""
+        return wi in self.waiting or wi in self.core.open
 
     async def _body(self, request: web.BaseRequest) -> bytes:
         """A request's body, which has come with its head; one in chunks may be too large."""
--- a/dunepulley/net/config.py
+++ b/dunepulley/net/config.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
 import orjson
@@ -29,6 +29,9 @@
 PHASES = {"Ready": face.READY, "Terminating": face.LEAVING, "Gone": face.LEFT}
 
 
+PHASE_OF = {state: phase for phase, state in PHASES.items()}
+
+
 class UnusableError(Exception):
     """The configuration cannot be used; the text says why in one line."""
 
@@ -55,6 +58,7 @@
     peers: tuple[tuple[str, int], ...] = ()
     by_key: bool = False
     console: tuple[str, int] | None = None
+    scratch: str = ""  # the folder where a successor finds this process; none without it
 
     def told(self) -> str:
         """What was told, for a person."""
@@ -106,6 +110,7 @@
             peers,
             by_key,
             address_of(console) if console else None,
+            environment.get("TMPDIR", ""),
         )
     except KeyError as problem:
         raise UnusableError(f"{path}: {problem} is missing") from problem
@@ -206,3 +211,24 @@
         return Listed(int(told.get("revision", 0)), face.ListNews(how, tuple(entries)), addresses)
     except (KeyError, TypeError, AttributeError) as problem:
         raise ValueError(f"no list of workers: {problem!r}") from problem
+
+
+def told_of(entries: Iterable[face.Entry], addresses: Mapping[str, str], revision: int) -> dict[str, Any]:
+    """A list of workers in discovery's form, as `listed` reads it."""
+    return {
+        "revision": revision,
+        "complete": True,
+        "members": [
+            {
+                "id": entry.worker,
+                "host_port": addresses.get(entry.worker),
+                "locality": entry.zone,
+                "flavor": entry.kind,
+                "cell": entry.cell,
+                "phase": PHASE_OF[entry.state],
+                "size": entry.units,
+                "up_since_ms": entry.since,
+            }
+            for entry in entries
+        ],
+    }
--- a/dunepulley/net/console.py
+++ b/dunepulley/net/console.py
@@ -119,8 +119,8 @@
         caller.transport.abort()
         return True
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Give back the listening socket and every connection."""
-        await self.listener.close()
+        self.listener.close()
         for caller in list(self.everyone):
             caller.transport.abort()
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -175,8 +175,11 @@
         self.dispatcher = Dispatcher(seed, settings, self.now)
         self.open: dict[str, Open] = {}
         self.done: list[Open] = []
+        self.revision = 0
+        self.entries: dict[str, face.Entry] = {}
         self.addresses: dict[str, str] = {}
         self.ready: set[str] = set()
+        self.usable = asyncio.Event()  # once a worker was known that takes work
         self.alarms: set[asyncio.TimerHandle] = set()
         self.events: list[Any] = []
         self.put(known)
@@ -285,16 +288,23 @@
             self._end(ho, face.CUT, message.report)
 
     def _read_listed(self, message: Listed) -> None:
+        self.revision = message.revision
         if message.news.how != face.CHANGES:
+            self.entries.clear()
             self.addresses.clear()
             self.ready.clear()
         for entry in message.news.entries:
+            self.entries[entry.worker] = entry
+            if entry.state == face.LEFT:
+                del self.entries[entry.worker]
             address = message.addresses.get(entry.worker)
             if address is None:
                 self.addresses.pop(entry.worker, None)
             else:
                 self.addresses[entry.worker] = address
             (self.ready.add if entry.state == face.READY else self.ready.discard)(entry.worker)
+        if self.ready:
+            self.usable.set()
         self.events.append(message.news)
 
     def _read_asked(self, message: Asked) -> None:
@@ -420,6 +430,7 @@
     Listed: Core._read_listed,
     Asked: Core._read_asked,
     face.Probed: Core._read_event,
+    face.Cold: Core._read_event,
     face.Told: Core._read_event,
     face.Alarm: Core._read_event,
 }
--- a/dunepulley/net/listener.py
+++ b/dunepulley/net/listener.py
@@ -14,10 +14,11 @@
 
 
 class Listener:
-    """Owns one listening socket and the task that takes connections from it.
+    """Owns one listening socket, and takes connections from it while it is told to.
 
     asyncio's own server takes a thousand at one go, and without a descriptor left tries as often and then
-    takes none for a second; callbacks would wait as long.
+    takes none for a second; callbacks would wait as long. And a task that accepts may be stopped with a
+    connection in its hands, which would then be lost: here to stop is to look no more.
     """
 
     def __init__(
@@ -32,41 +33,63 @@
         self.make_room = make_room
         self.counters = counters
         self.socket: socket.socket | None = None
-        self.task: asyncio.Task | None = None
+        self.taking = False
+        self.coming: set[asyncio.Task] = set()
 
-    def listen(self, host: str, port: int) -> int:
-        """Bind an address and take what comes; the port."""
+    def bind(self, host: str, port: int) -> int:
+        """Listen at an address, from which nothing is taken yet; the port."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self.socket = socket.create_server((host, port), family=family, backlog=1024)
-        return self.resume()
+        return self.adopt(socket.create_server((host, port), family=family, backlog=1024))
 
-    def resume(self) -> int:
-        """Take connections; the port."""
-        self.socket.setblocking(False)
-        self.task = asyncio.create_task(self._accept(self.socket))
-        return self.socket.getsockname()[1]
+    def adopt(self, listening: socket.socket) -> int:
+        """Own a socket that listens already; the port."""
+        listening.setblocking(False)
+        self.socket = listening
+        return listening.getsockname()[1]
 
-    async def _accept(self, listening: socket.socket) -> None:
-        """Take connections one by one, what has come over one before the next."""
+    def take(self) -> None:
+        """Take connections, one in each turn of the loop: what came over it is read before the next."""
+        self.taking = True
+        self._look()
+
+    def rest(self) -> None:
+        """Take none; what comes waits in the kernel's queue."""
+        self.taking = False
+        if self.socket is not None:
+            asyncio.get_running_loop().remove_reader(self.socket)
+
+    def _look(self) -> None:
+        if self.taking:
+            asyncio.get_running_loop().add_reader(self.socket, self._accept)
+
+    def _accept(self) -> None:
         loop = asyncio.get_running_loop()
-        while True:
-            try:
-                connection, _ = await loop.sock_accept(listening)
-            except OSError as problem:
-                self.counters["not accepted"] += 1
-                log.say(self.name, f"a connection has to wait: {problem.strerror}")
-                self.make_room()
-                await asyncio.sleep(LACKING_S)
-                continue
-            try:
-                await loop.connect_accepted_socket(self.protocol, connection)
-            except OSError:
-                connection.close()
-
-    async def close(self) -> None:
-        """Give back the task and the socket."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        try:
+            connection, _ = self.socket.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return  # it has gone again, or the other process that shares this socket has it
+        except OSError as problem:
+            self.counters["not accepted"] += 1
+            log.say(self.name, f"a connection has to wait: {problem.strerror}")
+            # What has come over the others is read first: who seems silent may not be.
+            loop.call_soon(self.make_room)
+            loop.remove_reader(self.socket)
+            loop.call_later(LACKING_S, self._look)
+            return
+        connection.setblocking(False)
+        task = loop.create_task(self._begin(connection))
+        self.coming.add(task)
+        task.add_done_callback(self.coming.discard)
+
+    async def _begin(self, connection: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(self.protocol, connection)
+        except OSError:
+            connection.close()
+
+    def close(self) -> None:
+        """Give the socket back; another process that shares it goes on."""
+        self.rest()
         if self.socket is not None:
             self.socket.close()
+            self.socket = None
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -8,10 +8,12 @@
 import logging
 import resource
 import signal
+import socket
 from typing import Any
 
-from dunepulley.net import config, figures, log
-from dunepulley.net.clients import DRAINED, ENDING, Clients
+from dunepulley import interface as face
+from dunepulley.net import config, figures, handover, log
+from dunepulley.net.clients import DRAINED, ENDING, HANDED, Clients
 from dunepulley.net.console import Answer, Console
 from dunepulley.net.core import Asked, Core
 from dunepulley.net.counters import Counters
@@ -28,13 +30,20 @@
 # next is told to end before the last is back. So they are served until this much is left, in which most work
 # items taken last still finish.
 FINISH_S = 1.3
+# Once another process takes connections, answers end theirs; what is still idle after this is closed.
+HANDED_S = 0.5
+# Of the connections, on either side, each of two processes holds so much.
+HALF = 0.5
 
 
 class Service:
     """All parts of one dispatcher, each owned here."""
 
-    def __init__(self, start: config.Start) -> None:
+    def __init__(self, start: config.Start, inherited: handover.Inherited | None = None) -> None:
+        if inherited is not None:
+            start = start._replace(known=inherited_list(inherited, start))
         self.start_with = start
+        self.inherited = inherited
         sockets = min(start.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.counters = Counters()
         self.core = Core(start.seed, start.settings, start.known, self.counters)
@@ -45,10 +54,15 @@
         self.clients = Clients(self.core, start.settings, sockets, self.counters, start.by_key)
         calls = {"HEALTH": self._health, "DUMP": self._dump, "LEAVE": self._leave, "JOIN": self._join}
         self.console = Console(calls, max(4, sockets // 16), self.counters)
+        path = handover.path_of(start.scratch, *start.listen)
+        self.handover = handover.Handover(self, path, self.counters)
+        self.clients.callbacks.elsewhere = self.handover.pass_on
         self.discovery = start.discovery
         self.watch: asyncio.Task | None = None
         self.task: asyncio.Task | None = None
-        self.ended = asyncio.Event()
+        self.finishing: asyncio.Task | None = None
+        self.ended = asyncio.Event()  # by a fault
+        self.done = asyncio.Event()  # in good order, as another process serves
         self.port = self.console_port = 0
 
     async def start(self) -> None:
@@ -58,17 +72,34 @@
         self._watch(self.start_with.known.revision)
         host, port = self.start_with.listen
         try:
-            self.port = self.clients.listener.listen(host, port)
-            if self.start_with.peers:
-                await self.peers.open((host, self.port))
+            if self.inherited is not None:
+                self.port = self.clients.listener.adopt(self.inherited.listening)
+            else:
+                self.port = self.clients.listener.bind(host, port)
             if self.start_with.console:
                 host, port = self.start_with.console
-                self.console_port = self.console.listener.listen(host, port)
+                self.console_port = self.console.listener.bind(host, port)
+                self.console.listener.take()
         except OSError as problem:
             raise config.UnusableError(f"cannot listen at {host}:{port}: {problem.strerror}") from problem
-        for listener in (self.clients.listener, self.console.listener):
-            if listener.task is not None:
-                listener.task.add_done_callback(self._task_ended)
+        if self.inherited is not None:
+            self._share(False, HALF)
+            await self.handover.follow(self.inherited)
+            # Until there is something to serve with, the process before this one goes on.
+            await self.core.usable.wait()
+            await self.handover.take_over()
+            self.core.put(face.Cold(True))
+        await self._open_notes()
+        self.clients.listener.take()
+        self.handover.wait()
+
+    async def _open_notes(self) -> None:
+        if self.start_with.peers:
+            host = self.start_with.listen[0]
+            try:
+                await self.peers.open((host, self.port))
+            except OSError as problem:
+                raise config.UnusableError(f"no notes at {host}:{self.port}: {problem.strerror}") from problem
 
     def _watch(self, revision: int) -> None:
         """Watch the present discovery from a version on; the watch before it, if any, is given back."""
@@ -102,6 +133,59 @@
             log.say("fault", f"a task that should run for ever ended: {task.exception()!r}")
             self.ended.set()
 
+    # ---------------------------------------------------------------- beside another process
+
+    def passes_on(self) -> dict[str, Any]:
+        """What a successor starts from."""
+        core = self.core
+        known = config.told_of(core.entries.values(), core.addresses, core.revision)
+        return {"known": known, "discovery": self.discovery}
+
+    def listening(self) -> socket.socket:
+        """The socket that clients connect to, which the successor shares."""
+        return self.clients.listener.socket
+
+    def hand_over(self) -> None:
+        """A successor serves: take no more connections, and end once nothing is open here."""
+        self.clients.listener.rest()
+        self.peers.close()
+        self.clients.leave(HANDED, HANDED_S)
+        self._share(False, HALF)
+        self.finishing = asyncio.create_task(self._finish_handed())
+
+    def take_back(self) -> None:
+        """The successor has ended: serve again, unless this process is ending, too."""
+        if self.finishing is not None:
+            self.finishing.cancel()
+        if not self.clients.join(after=HANDED):
+            return
+        log.say("handover", "the successor has ended; this process serves again")
+        self._share(True, 1.0)
+        self.finishing = asyncio.create_task(self._open_notes())
+        self.clients.listener.take()
+        self.handover.wait()
+
+    def alone(self) -> None:
+        """The process before this one has ended: all limits are this one's."""
+        self.clients.server.share(1.0)
+        self.workers.share(1.0)
+
+    def hear(self, body: bytes) -> int | None:
+        """A callback that reached another process."""
+        return self.clients.callbacks.hear(body)
+
+    def _share(self, cold: bool, part: float) -> None:
+        self.core.put(face.Cold(cold))
+        self.clients.server.share(part)
+        self.workers.share(part)
+
+    async def _finish_handed(self) -> None:
+        await self.clients.none_waiting.wait()
+        while self.core.open:
+            # Hand-offs that are being taken back: their workers have a moment to hear of it.
+            await asyncio.sleep(0.02)
+        self.done.set()
+
     # ---------------------------------------------------------------- operators' calls
 
     async def _health(self) -> Answer:
@@ -144,10 +228,13 @@
 
     async def close(self) -> None:
         """Give back every socket and task."""
+        if self.finishing is not None:
+            self.finishing.cancel()
+        await self.handover.close()
         await self.clients.close()
-        await self.console.close()
+        self.console.close()
         self.peers.close()
-        tasks = [task for task in (self.task, self.watch) if task is not None]
+        tasks = [task for task in (self.task, self.watch, self.finishing) if task is not None]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -162,23 +249,32 @@
     told_to_end = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_end.set)
-    service = Service(start)
+    path = handover.path_of(start.scratch, *start.listen)
+    try:
+        service = Service(start, handover.ask(path, start.name))
+    except handover.UnableError as problem:
+        raise config.UnusableError(str(problem)) from problem
     loop.add_signal_handler(signal.SIGHUP, service.reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: print_counters(service.counters))
+    ends = [asyncio.create_task(event.wait()) for event in (told_to_end, service.ended, service.done)]
+    starting = asyncio.create_task(service.start())
     try:
-        await service.start()
-        # What lives as long as the process needs no look from the collector.
-        gc.collect()
-        gc.freeze()
-        log.say("service", f"{start.name} listens at {start.listen[0]}:{service.port}")
-        waits = [asyncio.create_task(event.wait()) for event in (told_to_end, service.ended)]
-        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        for wait in waits:
-            wait.cancel()
+        await asyncio.wait([starting, *ends], return_when=asyncio.FIRST_COMPLETED)
+        if starting.done():
+            starting.result()
+            # What lives as long as the process needs no look from the collector.
+            gc.collect()
+            gc.freeze()
+            log.say("service", f"{start.name} listens at {start.listen[0]}:{service.port}")
+            await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+            if told_to_end.is_set():
+                await service.finish()
+        starting.cancel()
         if service.ended.is_set():
             return 1
-        await service.finish()
     finally:
+        for end in ends:
+            end.cancel()
         # From here on there is nothing left to watch for.
         loop.remove_signal_handler(signal.SIGHUP)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -195,3 +291,14 @@
 
 def _library_fault(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     log.say("library", f"{context.get('message')}: {context.get('exception')!r}")
+
+
+def inherited_list(inherited: handover.Inherited, start: config.Start) -> config.Listed:
+    """The list that the process before this one has, which is newer than what the configuration holds."""
+    try:
+        known = config.listed(inherited.told["known"], face.DISK_LIST)
+    except (KeyError, ValueError) as problem:
+        log.say("handover", f"no list was passed on: {problem}")
+        return start.known
+    # The versions of one discovery say nothing to another.
+    return known if inherited.told.get("discovery") == start.discovery else known._replace(revision=0)
--- a/dunepulley/net/workers.py
+++ b/dunepulley/net/workers.py
@@ -93,13 +93,14 @@
         idle = settings.get("policyLimits.connIdleMs", 15000.0) / 1000.0
         self.connect_s = settings.get("policyLimits.connectTimeoutMs", 1000.0) / 1000.0
         self.has_reports = settings.get("reporting.how", "none") != "none"
+        self.most = max(8, sockets // 8)
         self.session = aiohttp.ClientSession(
             # The library looks for idle connections once in this time, so one may stand for twice as long:
             # two fifths leave a fifth for a slow way and a busy moment before the worker closes it. An
             # eighth of the descriptors may be in exchanges at once, a quarter of these with one worker, which
             # may be silent; as many again may stand idle.
             connector=aiohttp.TCPConnector(
-                limit=max(8, sockets // 8),
+                limit=self.most,
                 limit_per_host=max(2, sockets // 32),
                 keepalive_timeout=max(0.05, 0.4 * idle),
             ),
@@ -133,6 +134,10 @@
             self.counters["faults"] += 1
             log.say("fault", f"workers: {task.exception()!r}")
 
+    def share(self, part: float) -> None:
+        """Use this part of the connections allowed: another process of this dispatcher uses the rest."""
+        self.session.connector._limit = max(4, int(self.most * part))
+
     async def close(self) -> None:
         """Stop all that is under way and close every connection."""
         tasks = list(self.tasks.values())
