Chunk extensions and trailers are read, and who keeps writing is waited for

Cause: usual clients send chunks with extensions, zeros and trailers; 203 of 1,266 were turned away with 400, and 61 cut off after 2 s while still coming. Lines at fault: CHUNK and chunks_end in net/clients.py, the fixed WHOLE_S. Chunks are now undone where the bytes wait, and the library sees a plain length.

--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -26,9 +26,12 @@
 BODY_LIMIT = 65536
 # A usual head has a few hundred bytes; one without end must not fill the memory.
 HEAD_LIMIT = 16384
-# Clients send a request in one go. One that is not whole after this, from the connection's begin or from the
-# request's first byte, is not coming; who waits for an answer is owed one within 3 s of connecting.
+# From the connection's begin, or from the request's first byte: who waits for an answer is owed one within
+# 3 s of connecting. A request that is not whole by then has paused for less than a second, or is not coming.
 WHOLE_S = 2.0
+PAUSE_S = 1.0
+# Nobody needs longer to send 64 KB.
+SLOW_S = 10.0
 # How long an answer may take to be read by someone who is still sending.
 READ_IT_S = 0.25
 # How the body's length is told, and what would let two readers understand a head in two ways.
@@ -36,7 +39,11 @@
 CODING = re.compile(rb"\r\ntransfer-encoding[ \t]*:[ \t]*([^\r]*?)[ \t]*(?=\r\n)", re.I)
 EXPECT = re.compile(rb"\r\nexpect:[ \t]*100-continue", re.I)
 TWISTED = re.compile(rb"(?<!\r)\n|\r(?!\n)|\r\n[ \t]|\0")
-CHUNK = re.compile(rb"([0-9a-fA-F]{1,5})\r\n")
+CHUNK = re.compile(rb"0{0,16}([0-9a-fA-F]{1,5})[ \t]*(?:;[^\r\n]{0,256})?\r\n")
+CHUNK_LINE = 300
+# What may stand behind the last chunk, beside the empty line: fields that are of no use here.
+TRAILER = re.compile(rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r\n)*\r\n")
+TRAILER_LIMIT = 2048
 # The id becomes part of a path when a hand-off is taken back: no character that means something there.
 ID = re.compile(r"[A-Za-z0-9._~-]{1,128}")
 TARGET = re.compile(r"/[!-~]*")
@@ -52,6 +59,8 @@
 BACKSTOP_MS = 30.0
 # Only a connection idle for longer may be closed for room: a request may be on its way over a newer one.
 IDLE_S = 1.0
+# Who writes slowly pauses, but not for so long.
+HALF_S = 0.5
 # Why clients are sent away, if they are: an operator asked, the process is to end, or another serves
 # in its place.
 SERVING, DRAINED, ENDING, HANDED = "", "drained", "ending", "handed over"
@@ -83,23 +92,43 @@
     return int(lengths[0])
 
 
-def chunks_end(raw: bytearray, at: int) -> tuple[int, bool]:
-    """The first chunk from `at` on that is not all there, and False; or the end of the body, and True."""
-    while True:
-        chunk = CHUNK.match(raw, at)
-        if chunk is None:
-            if len(raw) - at >= 8 or b"\n" in raw[at:]:
-                raise MalformedError(400, "a chunk without its length")
-            return at, False
-        size = int(chunk[1], 16)
-        end = chunk.end() + size + 2
-        if len(raw) < end:
-            return at, False
-        if raw[end - 2 : end] != b"\r\n":
-            raise MalformedError(400, "a chunk of another length than it says, or a trailer")
-        at = end
-        if size == 0:
-            return at, True
+class Chunks:
+    """A body that comes in chunks, put together as they come; extensions and trailers are dropped."""
+
+    __slots__ = ("at", "body", "last")
+
+    def __init__(self, at: int) -> None:
+        self.at = at
+        self.body = bytearray()
+        self.last = False  # whether the last chunk has come, behind which only trailers may
+
+    def end(self, raw: bytearray) -> int:
+        """Where the body ends in what has come; 0 if that is not known yet."""
+        while not self.last:
+            chunk = CHUNK.match(raw, self.at)
+            if chunk is None:
+                if len(raw) - self.at > CHUNK_LINE or b"\n" in raw[self.at :]:
+                    raise MalformedError(400, "a chunk without its length")
+                return 0
+            size = int(chunk[1], 16)
+            if size == 0:
+                self.at, self.last = chunk.end(), True
+                break
+            end = chunk.end() + size + 2
+            if len(self.body) + size > BODY_LIMIT:
+                raise MalformedError(413, "the body is too large")
+            if len(raw) < end:
+                return 0
+            if raw[end - 2 : end] != b"\r\n":
+                raise MalformedError(400, "a chunk of another length than it says")
+            self.body += raw[chunk.end() : end - 2]
+            self.at = end
+        trailer = TRAILER.match(raw, self.at)
+        if trailer is not None and trailer.end() - self.at <= TRAILER_LIMIT:
+            return trailer.end()
+        if len(raw) - self.at > TRAILER_LIMIT or raw.find(b"\r\n\r\n", self.at) >= 0:
+            raise MalformedError(400, "what comes behind the last chunk is no trailer")
+        return 0
 
 
 class Connection(asyncio.Protocol):
@@ -110,26 +139,33 @@
     is turned away here, which costs neither a task nor a parser, and nothing of it can reach a worker.
     """
 
-    __slots__ = ("front", "transport", "handler", "raw", "head", "chunk", "length")
-    __slots__ += ("busy", "known", "worker", "timer")
+    __slots__ = ("front", "transport", "handler", "raw", "head", "chunks", "length")
+    __slots__ += ("busy", "known", "worker", "begun", "heard", "timer")
 
     def __init__(self, front: Front) -> None:
         self.front = front
         self.transport: asyncio.Transport
         self.handler: RequestHandler | None = None
         self.raw = bytearray()
-        # How long the head is, where the next chunk begins, and how long the whole is; 0 if not known yet.
-        self.head = self.chunk = self.length = 0
+        # How long the head is, and how long the whole is; 0 if not known yet.
+        self.head = self.length = 0
+        self.chunks: Chunks | None = None
         self.busy = False
         self.known = False  # whether it has brought a work item or a callback
         self.worker = False  # whether it has brought a callback
+        # When the connection or the request in coming began, and when the last of it came.
+        self.begun = self.heard = 0.0
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
-        self.timer = self.front.loop.call_later(WHOLE_S, self._late)
+        self._begin()
         self.front.came(self)
 
+    def _begin(self) -> None:
+        self.begun = self.front.loop.time()
+        self.timer = self.front.loop.call_later(WHOLE_S, self._late)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         self._stop_timer()
         self.front.left(self)
@@ -148,8 +184,12 @@
         if self.transport.is_closing():
             return
         if self.timer is None:
-            self.timer = self.front.loop.call_later(WHOLE_S, self._late)
+            self._begin()
         self.raw += data
+        if not self.head and not self.busy:
+            # Some end a body with an empty line that belongs to none.
+            while self.raw.startswith(b"\r\n"):
+                del self.raw[:2]
         try:
             # Clients send one request at a time: what comes behind one belongs to none.
             whole = not self.busy and self._is_whole(len(data))
@@ -160,6 +200,9 @@
             return
         if whole:
             self._pass_on()
+        else:
+            self.heard = self.front.loop.time()
+            self.front.pauses(self)
 
     def _is_whole(self, new: int) -> bool:
         """Whether a whole request has come; `length` is then how long it is."""
@@ -169,23 +212,32 @@
                 raise MalformedError(431, "the head is too long")
             if at < 0:
                 return False
-            self.head = self.chunk = at + 4
+            self.head = at + 4
             head = bytes(self.raw[: at + 2])
             length = framing_of(head)
-            self.length = self.head + length if length >= 0 else 0
+            if length >= 0:
+                self.length = self.head + length
+            else:
+                self.chunks = Chunks(self.head)
             if EXPECT.search(head) and len(self.raw) == self.head and length:
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if not self.length:
-            self.chunk, ended = chunks_end(self.raw, self.chunk)
-            if not ended and len(self.raw) - self.head > 2 * BODY_LIMIT:
+            self.length = self.chunks.end(self.raw)
+            if not self.length and len(self.raw) - self.head > 2 * BODY_LIMIT:
                 raise MalformedError(413, "the body is too large")
-            self.length = self.chunk if ended else 0
         return 0 < self.length <= len(self.raw)
 
     def _pass_on(self) -> None:
-        raw = bytes(self.raw)
+        if self.chunks is None:
+            raw = bytes(self.raw)
+        else:
+            # What reads it next need not find out anew where it ends.
+            length = b"\r\nContent-Length: %d" % len(self.chunks.body)
+            head = CODING.sub(length, bytes(self.raw[: self.head]))
+            raw = head + bytes(self.chunks.body)
         self.raw = bytearray()
-        self.head = self.chunk = self.length = 0
+        self.head = self.length = 0
+        self.chunks = None
         self.busy = True
         self._stop_timer()
         self.front.taken(self)
@@ -203,6 +255,7 @@
     def refuse(self, status: int, reason: str) -> None:
         """Turn away what came, and whatever else comes over this connection."""
         self.front.counters[f"turned away {status}"] += 1
+        log.say("turned away", f"{status}, {reason}")
         text = f"HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
         self.transport.write(text.encode())
         self.raw = bytearray()
@@ -216,7 +269,11 @@
 
     def _late(self) -> None:
         self.timer = None
-        if self.raw:
+        now = self.front.loop.time()
+        still = self.heard + PAUSE_S - now
+        if self.raw and still > 0.0 and now < self.begun + SLOW_S:
+            self.timer = self.front.loop.call_later(still, self._late)
+        elif self.raw:
             self.refuse(408, "the request did not come")
         else:
             self.front.counters["silent connections closed"] += 1
@@ -238,8 +295,10 @@
         self.counters = counters
         self.everyone: set[Connection] = set()
         # Without a request in hand, and since when, the longest first: those that have brought neither a work
-        # item nor a callback yet, and those that have.
+        # item nor a callback yet, those of which a part of a request has come, and those that wait for the
+        # next.
         self.strangers: dict[Connection, float] = {}
+        self.halves: dict[Connection, float] = {}
         self.idle: dict[Connection, float] = {}
 
     def connection(self) -> Connection:
@@ -258,10 +317,15 @@
         """A connection has no request in hand."""
         (self.idle if connection.known else self.strangers)[connection] = self.loop.time()
 
+    def pauses(self, connection: Connection) -> None:
+        """A part of a request has come over a connection."""
+        self.taken(connection)
+        self.halves[connection] = self.loop.time()
+
     def taken(self, connection: Connection) -> None:
         """A whole request has come over a connection."""
-        self.strangers.pop(connection, None)
-        self.idle.pop(connection, None)
+        for some in (self.strangers, self.halves, self.idle):
+            some.pop(connection, None)
 
     def left(self, connection: Connection) -> None:
         """The one place where a connection is forgotten."""
@@ -269,13 +333,15 @@
         self.taken(connection)
 
     def make_room(self) -> bool:
-        """Close the stranger that has been silent the longest, else the one idle the longest.
+        """Close the stranger that has been silent the longest, else a half, else the one idle the longest.
 
         Clients send with connecting, and what has come is read before the next connection is taken: the
-        oldest of many that have brought nothing has nothing to bring. Some ask for our health and stay.
+        oldest of many that have brought nothing has nothing to bring. Some ask for our health and stay. Of
+        those that have sent a part, the one that has paused the longest is the least likely to send the rest.
         """
         now = self.loop.time()
-        for some, least in ((self.strangers, 0.0), (self.idle, IDLE_S)):
+        order = (self.strangers, 0.0), (self.halves, HALF_S), (self.idle, IDLE_S), (self.halves, 0.0)
+        for some, least in order:
             connection = next(iter(some), None)
             if connection is not None and now - some[connection] >= least:
                 # Its descriptor is free in a moment; it must not be found here again until then.
@@ -290,13 +356,13 @@
         while len(self.everyone) > self.limit and self.make_room():
             pass
 
-    def close_idle(self, workers: bool = False) -> None:
+    def close_idle(self, all_of: bool = False) -> None:
         """Close all that wait for a next request; a client whose request crosses this sends it again.
 
         Not those of which a part of a request has come: it would be lost once the rest is written.
         """
-        for connection in [*self.strangers, *self.idle]:
-            if not connection.raw and (workers or not connection.worker):
+        for connection in [*self.strangers, *self.idle, *(self.halves if all_of else ())]:
+            if all_of or not connection.worker:
                 connection.transport.close()
 
 
@@ -383,7 +449,7 @@
         """Close all connections, those with an answer under way a moment later."""
         self._stop_timer()
         self.listener.close()
-        self.server.close_idle(workers=True)
+        self.server.close_idle(all_of=True)
         await self.server.shutdown(0.2)
 
     def _tell_waiting(self) -> None:
@@ -428,6 +494,7 @@
         except MalformedError as problem:
             status, reason = problem.args
             self.counters[f"turned away {status}"] += 1
+            log.say("turned away", f"{status}, {reason}")
             response = web.Response(status=status, text=reason + "\n")
             # Who sends what cannot be used is not given a descriptor to keep.
             response.force_close()
