--- a/dunepulley/net/handover.py
+++ b/dunepulley/net/handover.py
@@ -102,6 +102,8 @@
             if not data or len(raw) > FRAME_LIMIT:
                 raise UnableError("the process that serves does not hand over")
         told = orjson.loads(raw)
+        if not isinstance(told, dict):
+            raise UnableError("the process that serves does not hand over")
         if "refused" in told:
             raise UnableError(f"the process that serves does not hand over: {told['refused']}")
         if len(passed) != 1:
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,409 @@
+"""An upgrade with two real processes, and the handover's hard cases beside it."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import threading
+
+import pytest
+from helpers import (
+    SILENT,
+    TAKEN,
+    Peer,
+    Rig,
+    Town,
+    entry,
+    member,
+    members,
+    of,
+    on_loop,
+    read_call,
+    request,
+    say_to,
+    until,
+)
+
+from dunepulley import interface as face
+from dunepulley.net import config, handover
+
+HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
+WORKERS = 4
+
+
+def taken(call):
+    return TAKEN
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return free.getsockname()[1]
+
+
+class Site:
+    """What the processes of one dispatcher share: addresses, $TMPDIR, workers, discovery."""
+
+    def __init__(self, folder, scratch=True):
+        self.folder = folder
+        self.scratch = folder / "tmp"
+        self.scratch.mkdir()
+        self.environment = {name: value for name, value in os.environ.items() if name != "TMPDIR"}
+        if scratch:
+            self.environment["TMPDIR"] = str(self.scratch)
+        self.port = free_port()
+        self.path = handover.path_of(str(self.scratch), "127.0.0.1", self.port)
+        self.nodes = []
+
+    async def __aenter__(self):
+        self.worker = await Peer(taken).__aenter__()
+        self.watch = await Peer(lambda call: SILENT).__aenter__()
+        return self
+
+    async def __aexit__(self, *_):
+        for node in self.nodes:
+            if node.process.returncode is None:
+                node.process.kill()
+            await node.process.wait()
+        await self.worker.__aexit__()
+        await self.watch.__aexit__()
+
+    async def start(self, known=WORKERS):
+        """Start one more process; it may or may not come to serve."""
+        node = Node(self)
+        self.nodes.append(node)
+        await node.start(known)
+        return node
+
+    async def serving(self):
+        """Start one more process and wait until it serves."""
+        node = await self.start()
+        await node.serves()
+        return node
+
+    async def say(self, raw):
+        return await say_to(self.port, raw)
+
+    async def open(self, raw):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(raw)
+        return reader, writer
+
+    async def event(self, wi, state="done"):
+        """A callback from each worker; only one has the item. What the answers were."""
+        told = []
+        for worker in range(WORKERS):
+            body = json.dumps({"id": wi, "from": f"w{worker}", "state": state, "result": wi}).encode()
+            told.append((await self.say(request("/v1/job-events", body, wi=None))).target)
+        return set(told)
+
+    async def seen(self, *wanted):
+        """Wait until the workers have each of these once."""
+        await until(lambda: sorted(self.given()) == sorted(wanted))
+
+    def given(self):
+        return [call.headers["x-call-id"] for call in self.worker.seen if call.method == "POST"]
+
+
+class Node:
+    """One process."""
+
+    def __init__(self, site):
+        self.site = site
+        self.console = free_port()
+
+    async def start(self, known):
+        workers = [member(f"w{number}", self.site.worker.address) for number in range(known)]
+        category = {"name": "look", "effect": "read_like", "dueTimeUs": 3000000, "expiryUs": 4000000}
+        told = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.site.port}",
+            "discovery": self.site.watch.address,
+            "console": f"127.0.0.1:{self.console}",
+            "limits": {"sockets": 256},
+            "known": members(*workers, revision=7),
+            "settings": {"categories": [category], "policyLimits": {"mostHandOffs": 5}},
+        }
+        path = self.site.folder / f"config-{self.console}.json"
+        path.write_text(json.dumps(told))
+        self.process = await asyncio.create_subprocess_exec(
+            *[sys.executable, "-m", "dunepulley", "serve", "--config", str(path)],
+            stderr=asyncio.subprocess.PIPE,
+            env=self.site.environment,
+        )
+
+    async def call(self, line):
+        """What its console answers; nothing where it does not listen."""
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.console)
+            writer.write(line.encode() + b"\n")
+            told = (await reader.read()).decode()
+            writer.close()
+            return told
+        return ""
+
+    async def serves(self):
+        async with asyncio.timeout(8.0):
+            while not (await self.call("HEALTH")).startswith("200"):
+                assert self.process.returncode is None
+                await asyncio.sleep(0.01)
+
+    async def figure(self, name):
+        lines = (await self.call("DUMP")).splitlines()
+        return next((line.split(":")[1] for line in lines if line.startswith(f"edge_router.{name}:")), None)
+
+    async def ends(self):
+        """Its exit code and its log."""
+        said = (await self.process.stderr.read()).decode()
+        return await self.process.wait(), said
+
+
+@on_loop
+async def test_an_upgrade_loses_nothing_and_turns_nobody_back(tmp_path):
+    async with Site(tmp_path) as site:
+        old = await site.serving()
+        held, held_writer = await site.open(request("/look/1", wi="held"))
+        again, again_writer = await site.open(HEALTH)
+        assert (await read_call(again)).target == "200"
+        await site.seen("held")
+        # Connections wait to be accepted while nobody takes them, and all through the handover.
+        old.process.send_signal(signal.SIGSTOP)
+        queued = [await site.open(request("/look/1", wi=f"q{number}")) for number in range(20)]
+        old.process.send_signal(signal.SIGCONT)
+        new = await site.serving()
+        assert (await old.call("HEALTH")).startswith("400 handed over")
+        assert (await old.call("JOIN")).startswith("400")
+        assert (await site.say(HEALTH)).target == "200"
+        late, late_writer = await site.open(request("/look/1", wi="late"))
+        # An old connection goes on for one more, and is told to end.
+        again_writer.write(HEALTH)
+        told = await read_call(again)
+        assert (told.target, told.headers.get("connection")) == ("200", "close")
+        # All callbacks come to the new process; those for what the old one holds are passed on.
+        waiting = {"held": held, "late": late} | {f"q{n}": reader for n, (reader, _) in enumerate(queued)}
+        open_now = set(waiting)
+        while open_now:
+            for wi in sorted(open_now & set(site.given())):
+                assert await site.event(wi) == {"204"}
+                told = await read_call(waiting[wi])
+                assert (told.target, told.body) == ("200", wi.encode())
+                open_now.discard(wi)
+            await asyncio.sleep(0.005)
+        assert len(site.given()) == len(set(site.given())) == 22
+        # Nothing of its own is left: the old one ends by itself, and the new one goes on alone.
+        code, said = await old.ends()
+        assert code == 0 and "fault" not in said and "the successor serves" in said
+        assert await new.figure("current") == "0|g" and await new.figure("cluster_size") == "4|g"
+        assert os.path.exists(site.path)
+        for _, writer in (*queued, (held, held_writer), (again, again_writer), (late, late_writer)):
+            writer.close()
+
+
+@on_loop
+async def test_a_second_upgrade_while_the_first_one_ends_and_the_way_back(tmp_path):
+    async with Site(tmp_path) as site:
+        nodes, waiting = [], []
+        for number in range(3):  # each holds one item; the last is the way back to the first version
+            nodes.append(await site.serving())
+            waiting.append(await site.open(request("/look/1", wi=f"i{number}")))
+            await site.seen(*[f"i{at}" for at in range(number + 1)])
+        # Over two hops where it must, and the answer is the holder's.
+        for number, (reader, writer) in enumerate(waiting):
+            assert await site.event(f"i{number}") == {"204"}
+            assert (await read_call(reader)).body == f"i{number}".encode()
+            writer.close()
+        for node in nodes[:2]:
+            assert (await node.ends())[0] == 0
+        assert await nodes[2].figure("sends") == "1|c"
+
+
+@on_loop
+async def test_a_successor_that_never_gets_ready_changes_nothing(tmp_path):
+    async with Site(tmp_path) as site:
+        old = await site.serving()
+        # Pretends to start, and then says nothing.
+        hung = handover.ask(site.path, "hung")
+        assert hung.told["known"]["revision"] == 7 and len(hung.told["known"]["members"]) == WORKERS
+        assert (await old.call("HEALTH")).startswith("200")
+        # Meanwhile another one is not let in, and says so in one line.
+        code, said = await (await site.start()).ends()
+        assert code == 2 and "an upgrade is under way" in said
+        assert [line for line in said.splitlines() if "counters" not in line] == [said.splitlines()[0]]
+        # It dies, and what it was passed with it: nothing is lost, and the next one is let in.
+        hung.link.close()
+        hung.listening.close()
+        reader, writer = await site.open(request("/look/1", wi="a"))
+        await site.seen("a")
+        assert await site.event("a") == {"204"} and (await read_call(reader)).body == b"a"
+        await site.serving()
+        assert (await old.ends())[0] == 0
+        writer.close()
+
+
+@on_loop
+async def test_the_old_process_serves_again_if_the_new_one_ends(tmp_path):
+    async with Site(tmp_path) as site:
+        old = await site.serving()
+        held, held_writer = await site.open(request("/look/1", wi="held"))
+        await site.seen("held")
+        new = await site.serving()
+        assert (await old.call("HEALTH")).startswith("400")
+        new.process.kill()
+        await old.serves()
+        assert (await site.say(HEALTH)).target == "200"
+        reader, writer = await site.open(request("/look/1", wi="after"))
+        await site.seen("held", "after")
+        for wi, stream in (("held", held), ("after", reader)):
+            assert await site.event(wi) == {"204"}
+            assert (await read_call(stream)).body == wi.encode()
+        # And the next upgrade finds it.
+        third = await site.serving()
+        assert (await old.ends())[0] == 0 and await third.figure("cluster_size") == "4|g"
+        held_writer.close()
+        writer.close()
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+@on_loop
+async def test_the_old_process_is_ended_in_the_middle(tmp_path, number):
+    async with Site(tmp_path) as site:
+        old = await site.serving()
+        held, held_writer = await site.open(request("/look/1", wi="held"))
+        await site.seen("held")
+        new = await site.serving()
+        old.process.send_signal(number)
+        if number == signal.SIGTERM:
+            # It still finishes what it has, whoever hears of it.
+            assert await site.event("held") == {"204"}
+            assert (await read_call(held)).body == b"held"
+            assert (await old.ends())[0] == 0
+        else:
+            await old.process.wait()
+            # Nobody holds the item any more: the worker is answered all the same.
+            assert await site.event("held") == {"204"}
+        reader, writer = await site.open(request("/look/1", wi="after"))
+        await site.seen("held", "after")
+        await site.event("after")
+        assert (await read_call(reader)).body == b"after"
+        assert (await new.call("HEALTH")).startswith("200")
+        held_writer.close()
+        writer.close()
+
+
+@pytest.mark.parametrize("left", ["socket", "file", "folder", "nothing"])
+@on_loop
+async def test_what_lies_in_tmpdir(tmp_path, left):
+    async with Site(tmp_path) as site:
+        if left == "socket":  # of a process that was killed
+            stale = socket.socket(socket.AF_UNIX)
+            stale.bind(site.path)
+            stale.close()
+        elif left == "file":
+            with open(site.path, "w") as file:
+                file.write("somebody's")
+        elif left == "folder":
+            os.mkdir(site.path)
+        node = await site.serving()
+        if left in ("socket", "nothing"):
+            await until(lambda: os.path.exists(site.path))
+            await site.serving()
+            assert (await node.ends())[0] == 0
+        else:
+            # It is not ours to take away: the process serves, and says that no upgrade will find it.
+            node.process.send_signal(signal.SIGTERM)
+            code, said = await node.ends()
+            assert code == 0 and "no upgrade will find this process" in said and os.path.lexists(site.path)
+
+
+@on_loop
+async def test_without_tmpdir_a_second_process_is_turned_away(tmp_path):
+    async with Site(tmp_path, scratch=False) as site:
+        old = await site.serving()
+        code, said = await (await site.start()).ends()
+        assert code == 2 and "cannot listen at" in said
+        assert (await old.call("HEALTH")).startswith("200")
+
+
+@pytest.mark.parametrize(
+    ("says", "word"),
+    [
+        (b'{"refused":"busy"}\n', "busy"),
+        (b"{}\n", "passed no socket on"),
+        (b"[]\n", "does not hand over"),
+        (b"nonsense\n", "literal"),
+        (b"", "does not hand over"),
+        (None, "does not answer"),
+    ],
+)
+def test_a_foreign_listener_is_told_of_in_one_line(tmp_path, monkeypatch, says, word):
+    monkeypatch.setattr(handover, "PATIENCE_S", 0.2)
+    path = handover.path_of(str(tmp_path), "127.0.0.1", 8080)
+    with socket.socket(socket.AF_UNIX) as foreign:
+        foreign.bind(path)
+        foreign.listen()
+        if says is not None:
+
+            def answer():
+                link, _ = foreign.accept()
+                link.recv(100)
+                link.sendall(says)
+                link.close()
+
+            threading.Thread(target=answer, daemon=True).start()
+        with pytest.raises(handover.UnableError, match=word) as problem:
+            handover.ask(path, "n0")
+        assert "\n" not in str(problem.value)
+
+
+def test_a_deep_folder_is_no_hindrance(tmp_path):
+    folder = tmp_path / ("d" * 100)
+    folder.mkdir()
+    assert handover.ask(handover.path_of(str(folder), "127.0.0.1", 1), "n0") is None
+    assert handover.path_of("", "127.0.0.1", 1) == "" and handover.ask("", "n0") is None
+
+
+@on_loop
+async def test_a_holder_that_does_not_answer_has_the_worker_call_again(monkeypatch):
+    monkeypatch.setattr(handover, "HOLDER_S", 0.05)
+    one, other = socket.socketpair()
+    async with Town(taken) as town:
+        link = town.service.handover.older = await handover.Link.over(one)
+        assert (await town.event("w0", "done", "elsewhere", result="x")).target == "503"
+        assert json.loads(other.recv(9999))["callback"]
+        link.close()
+        town.service.handover.older = None
+        # Nobody's: late, or of a process that has gone.
+        assert (await town.event("w0", "done", "elsewhere", result="x")).target == "204"
+    other.close()
+
+
+def test_a_list_goes_over_as_it_is():
+    told = members(
+        member("w0", "127.0.0.1:1", up_since_ms=5.5),
+        member("w1", "127.0.0.1:2", "Terminating", size=0.5),
+        {"id": "w2", "phase": "Ready"},
+        revision=9,
+    )
+    known = config.listed(told)
+    again = config.listed(json.loads(json.dumps(config.told_of(known.news.entries, known.addresses, 9))))
+    assert again == known
+
+
+def test_of_two_processes_one_spends_the_cold_budget():
+    def sent(rig):
+        return len(of(face.HandOff, rig.feed(face.Arrived(f"i{rig.now}", "look", 4000.0), after=1.0)))
+
+    rig = Rig(0, now=100000.0, balancers=1.0)
+    rig.feed(face.ListNews(face.FULL_LIST, (entry(0, since=98000.0),)))
+    rig.feed(face.Cold(False))
+    assert sum([sent(rig) for _ in range(5)]) == 0
+    # What the other sent counts for one span more.
+    rig.feed(face.Cold(True))
+    assert sent(rig) == 0
+    rig.feed(after=1000.0)
+    assert sent(rig) == 1
+    rig.feed(face.Cold(False))
+    rig.feed(after=1000.0)
+    assert sent(rig) == 0
