What the old process has learned of workers goes over in an upgrade

Cause: the new process took each worker for one slot and its kind's mean speed until reports came, and held work items for nothing. Ruled out: the door (0 requests ended there), time to be ready (0.4 s), connections (80 of 384 descriptors).

--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -17,6 +17,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from dunepulley import interface as face
+from dunepulley import learned
 from dunepulley.brain import Dispatcher, in_order
 from dunepulley.net import log
 from dunepulley.net.config import Listed
@@ -111,6 +112,18 @@
     answer: asyncio.Future[tuple[int, int]]
 
 
+class Summed(NamedTuple):
+    """Another process is to go on from what the module has learned."""
+
+    answer: asyncio.Future[dict[str, Any]]
+
+
+class Taught(NamedTuple):
+    """What the module of another process has learned."""
+
+    told: Any
+
+
 class Hands(Protocol):
     """What carries hand-offs to the workers."""
 
@@ -311,6 +324,13 @@
         if not message.answer.done():
             message.answer.set_result(self.dispatcher.listed_and_avoided())
 
+    def _read_summed(self, message: Summed) -> None:
+        if not message.answer.done():
+            message.answer.set_result(learned.learned(self.dispatcher))
+
+    def _read_taught(self, message: Taught) -> None:
+        learned.teach(self.dispatcher, message.told)
+
     def _read_event(self, message: object) -> None:
         self.events.append(message)
 
@@ -429,6 +449,8 @@
     Told: Core._read_told,
     Listed: Core._read_listed,
     Asked: Core._read_asked,
+    Summed: Core._read_summed,
+    Taught: Core._read_taught,
     face.Probed: Core._read_event,
     face.Cold: Core._read_event,
     face.Told: Core._read_event,
--- a/dunepulley/net/handover.py
+++ b/dunepulley/net/handover.py
@@ -47,7 +47,7 @@
 
     def passes_on(self) -> dict[str, Any]: ...
     def listening(self) -> socket.socket: ...
-    def hand_over(self) -> None: ...
+    async def hand_over(self) -> dict[str, Any]: ...
     def take_back(self) -> None: ...
     def alone(self) -> None: ...
     def hear(self, body: bytes) -> int | None: ...
@@ -192,6 +192,7 @@
         self.newer: Link | None = None
         self.handed = False
         self.yours = asyncio.Event()
+        self.told: Any = None
         self.tasks: set[asyncio.Task] = set()
 
     def _start(self, work: Awaitable[None]) -> None:
@@ -209,6 +210,7 @@
     async def _hear_older(self, link: Link) -> None:
         while (frame := await link.next()) is not None:
             if "yours" in frame:
+                self.told = frame["yours"]
                 self.yours.set()
             elif "callback" in frame:
                 self._start(self._answer(link, frame, self.newer))
@@ -218,13 +220,17 @@
         self.yours.set()
         self.side.alone()
 
-    async def take_over(self) -> None:
-        """Say that this process can serve, and wait until the other takes no more connections."""
+    async def take_over(self) -> Any:
+        """Say that this process can serve, and wait until the other takes no more connections.
+
+        What the other has learned; nothing if it has ended.
+        """
         if self.older is not None:
             self.older.send(ready=True)
         await self.yours.wait()
         self.counters["taken over"] += 1
         log.say("handover", "took over from the process that served")
+        return self.told
 
     # ---------------------------------------------------------------- towards the process after
 
@@ -285,8 +291,7 @@
                 if "ready" in frame and not self.handed:
                     self.handed = True
                     self._stop_waiting()
-                    self.side.hand_over()
-                    link.send(yours=True)
+                    link.send(yours=await self.side.hand_over())
                     log.say("handover", "the successor serves; what is in hand here is finished")
                 elif "callback" in frame:
                     self._start(self._answer(link, frame, self.older))
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -15,7 +15,7 @@
 from dunepulley.net import config, figures, handover, log
 from dunepulley.net.clients import DRAINED, ENDING, HANDED, Clients
 from dunepulley.net.console import Answer, Console
-from dunepulley.net.core import Asked, Core
+from dunepulley.net.core import Asked, Core, Summed, Taught
 from dunepulley.net.counters import Counters
 from dunepulley.net.discovery import Discovery
 from dunepulley.net.peers import Peers
@@ -87,7 +87,7 @@
             await self.handover.follow(self.inherited)
             # Until there is something to serve with, the process before this one goes on.
             await self.core.usable.wait()
-            await self.handover.take_over()
+            self.core.put(Taught(await self.handover.take_over()))
             self.core.put(face.Cold(True))
         await self._open_notes()
         self.clients.listener.take()
@@ -145,13 +145,19 @@
         """The socket that clients connect to, which the successor shares."""
         return self.clients.listener.socket
 
-    def hand_over(self) -> None:
-        """A successor serves: take no more connections, and end once nothing is open here."""
+    async def hand_over(self) -> dict[str, Any]:
+        """A successor serves: take no more connections, and end once nothing is open here.
+
+        What the module has learned goes over with the clients.
+        """
         self.clients.listener.rest()
         self.peers.close()
         self.clients.leave(HANDED, HANDED_S)
         self._share(False, HALF)
         self.finishing = asyncio.create_task(self._finish_handed())
+        summed = Summed(asyncio.get_running_loop().create_future())
+        self.core.put(summed)
+        return await summed.answer
 
     def take_back(self) -> None:
         """The successor has ended: serve again, unless this process is ending, too."""
