Bytes of half requests are bounded; a closed notes socket is used no more

Halves now hold a sixteenth of the memory at most; the one that has paused the longest goes. After a handover the notes' socket was closed but still sent over. An empty list passed on no longer takes the place of a known one.

--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -140,7 +140,7 @@
     """
 
     __slots__ = ("front", "transport", "handler", "raw", "head", "chunks", "length")
-    __slots__ += ("busy", "known", "worker", "begun", "heard", "timer")
+    __slots__ += ("busy", "known", "worker", "begun", "heard", "counted", "timer")
 
     def __init__(self, front: Front) -> None:
         self.front = front
@@ -155,6 +155,7 @@
         self.worker = False  # whether it has brought a callback
         # When the connection or the request in coming began, and when the last of it came.
         self.begun = self.heard = 0.0
+        self.counted = 0  # the bytes of it that `Front` counts
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -292,6 +293,8 @@
         super().__init__(handler, **more)
         self.loop = asyncio.get_running_loop()
         self.limit = self.full = limit
+        # What halves of requests hold, and how much they may.
+        self.bytes, self.most_bytes = 0, 12 * 1024 * 1024
         self.counters = counters
         self.everyone: set[Connection] = set()
         # Without a request in hand, and since when, the longest first: those that have brought neither a work
@@ -321,9 +324,15 @@
         """A part of a request has come over a connection."""
         self.taken(connection)
         self.halves[connection] = self.loop.time()
+        connection.counted = len(connection.raw)
+        self.bytes += connection.counted
+        while self.bytes > self.most_bytes:
+            self._close_first(self.halves)
 
     def taken(self, connection: Connection) -> None:
         """A whole request has come over a connection."""
+        self.bytes -= connection.counted
+        connection.counted = 0
         for some in (self.strangers, self.halves, self.idle):
             some.pop(connection, None)
 
@@ -342,14 +351,18 @@
         now = self.loop.time()
         order = (self.strangers, 0.0), (self.halves, HALF_S), (self.idle, IDLE_S), (self.halves, 0.0)
         for some, least in order:
-            connection = next(iter(some), None)
-            if connection is not None and now - some[connection] >= least:
-                # Its descriptor is free in a moment; it must not be found here again until then.
-                self.left(connection)
-                connection.transport.abort()
+            since = next(iter(some.values()), None)
+            if since is not None and now - since >= least:
+                self._close_first(some)
                 return True
         return False
 
+    def _close_first(self, some: dict[Connection, float]) -> None:
+        # Its descriptor is free in a moment; it must not be found here again until then.
+        connection = next(iter(some))
+        self.left(connection)
+        connection.transport.abort()
+
     def share(self, part: float) -> None:
         """Hold this part of the connections allowed: another process of this dispatcher holds the rest."""
         self.limit = int(self.full * part)
--- a/dunepulley/net/config.py
+++ b/dunepulley/net/config.py
@@ -58,6 +58,7 @@
     peers: tuple[tuple[str, int], ...] = ()
     by_key: bool = False
     console: tuple[str, int] | None = None
+    memory_mb: float = 192.0
     scratch: str = ""  # the folder where a successor finds this process; none without it
 
     def told(self) -> str:
@@ -110,6 +111,7 @@
             peers,
             by_key,
             address_of(console) if console else None,
+            float(limits.get("memory_mb", 192.0)),
             environment.get("TMPDIR", ""),
         )
     except KeyError as problem:
--- a/dunepulley/net/peers.py
+++ b/dunepulley/net/peers.py
@@ -64,3 +64,4 @@
         """Give the socket back."""
         if self.transport is not None:
             self.transport.close()
+            self.transport = None
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -52,6 +52,8 @@
         me = self.core.dispatcher.me
         self.peers = self.core.peers = Peers(me, start.peers, self.core.put, self.counters)
         self.clients = Clients(self.core, start.settings, sockets, self.counters, start.by_key)
+        # A sixteenth of the memory for what has come of requests that are not whole.
+        self.clients.server.most_bytes = int(start.memory_mb * 65536)
         calls = {"HEALTH": self._health, "DUMP": self._dump, "LEAVE": self._leave, "JOIN": self._join}
         self.console = Console(calls, max(4, sockets // 16), self.counters)
         path = handover.path_of(start.scratch, *start.listen)
@@ -306,5 +308,7 @@
     except (KeyError, ValueError) as problem:
         log.say("handover", f"no list was passed on: {problem}")
         return start.known
+    if not known.news.entries:
+        return start.known
     # The versions of one discovery say nothing to another.
     return known if inherited.told.get("discovery") == start.discovery else known._replace(revision=0)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -274,6 +274,32 @@
             writer.close()
 
 
+def whose(connection):
+    return connection.transport.get_extra_info("peername")
+
+
+@on_loop
+async def test_halves_hold_no_more_bytes_than_they_may():
+    async with Town(taken) as town:
+        town.clients.server.most_bytes = 200_000
+        half = request("/look/1", b"x" * 60_000, wi="h")[:-1]
+        halves, writers = town.clients.server.halves, []
+        for _ in range(12):
+            _, writer = await town.connect()
+            writer.write(half)
+            writers.append(writer)
+            mine = writer.get_extra_info("sockname")
+            await until(lambda mine=mine: mine in [whose(c) for c in halves if c.counted == len(half)])
+        assert town.clients.server.bytes == 3 * len(half)
+        writers[-1].write(b"x")  # the newest of them is still waited for
+        await until(lambda: town.workers[0].seen)
+        assert town.clients.server.bytes == 2 * len(half)
+        for writer in writers:
+            writer.close()
+        await until(lambda: not town.clients.server.everyone)
+        assert town.clients.server.bytes == 0
+
+
 @on_loop
 async def test_a_flood_leaves_room_for_usual_clients_and_callbacks():
     async with Town(taken, sockets=32) as town:  # eighteen connections come in at most
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -161,6 +161,12 @@
         return await self.process.wait(), said
 
 
+async def until_listening(node):
+    async with asyncio.timeout(8.0):
+        while not await node.call("HEALTH"):
+            await asyncio.sleep(0.01)
+
+
 @on_loop
 async def test_an_upgrade_loses_nothing_and_turns_nobody_back(tmp_path):
     async with Site(tmp_path) as site:
@@ -244,14 +250,31 @@
 
 
 @on_loop
-async def test_the_old_process_serves_again_if_the_new_one_ends(tmp_path):
+async def test_a_successor_with_nothing_to_serve_with_waits_and_may_be_ended(tmp_path):
+    async with Site(tmp_path) as site:
+        old = await site.start(known=0)
+        await until(lambda: os.path.exists(site.path))
+        new = await site.start(known=0)
+        await until_listening(new)
+        assert (await new.call("HEALTH")).startswith("400")
+        new.process.send_signal(signal.SIGTERM)
+        code, said = await new.ends()
+        assert code == 0 and "took over" not in said and old.process.returncode is None
+        # What the new one's own configuration knows holds where there is nothing to pass on.
+        third = await site.serving()
+        assert await third.figure("cluster_size") == "4|g" and (await old.ends())[0] == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+@on_loop
+async def test_the_old_process_serves_again_if_the_new_one_ends(tmp_path, number):
     async with Site(tmp_path) as site:
         old = await site.serving()
         held, held_writer = await site.open(request("/look/1", wi="held"))
         await site.seen("held")
         new = await site.serving()
         assert (await old.call("HEALTH")).startswith("400")
-        new.process.kill()
+        new.process.send_signal(number)
         await old.serves()
         assert (await site.say(HEALTH)).target == "200"
         reader, writer = await site.open(request("/look/1", wi="after"))
