A dispatcher lays operators' drains of workers over discovery's list

Need: staff must keep work from a site's workers without discovery's help. dunepulley/drains.py, without I/O: the set and its revision, who may change what, what it covers, when it ends. The console takes it (DRAINS) and shows each worker's state (WORKERS); the file named by 'drains' is read before anything is served; an upgrade passes it on. The module hears of told drains as ever; its text is as it was.

--- /dev/null
+++ b/dunepulley/drains.py
@@ -0,0 +1,237 @@
+"""Drains of workers that operators intend: what they cover, when they end, and who may change them.
+
+A `Drains` is the whole set at one revision; changes make a new one. Nothing here reads a clock or a file.
+Times are Unix milliseconds. A set is older than another by (epoch, revision): an agent that lost its file
+begins a new epoch, and its set counts all the same.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, NamedTuple
+
+from dunepulley import interface as face
+
+NEVER = float("inf")
+WHATS = ("worker", "zone", "kind")
+# So many, and texts so long, fit a line of the console; more than that is an outage, not a drain.
+MOST = 100
+LONGEST = {"name": 128, "by": 64, "why": 200}
+# How many that have ended are kept to be shown.
+RECORD = 50
+
+
+class RefusedError(Exception):
+    """A change that is not made; the text says why in one line."""
+
+
+class Drain(NamedTuple):
+    """No new work to a worker, a zone or a kind; `revision` is that of the set that brought it."""
+
+    what: str
+    name: str
+    by: str
+    why: str
+    since: float
+    until: float
+    revision: int
+
+    def covers(self, entry: face.Entry) -> bool:
+        """Whether a worker is meant."""
+        return getattr(entry, self.what) == self.name
+
+    def text(self) -> str:
+        """For a person."""
+        return f"{self.what} {self.name}, by {self.by} at revision {self.revision}" + (
+            f": {self.why}" if self.why else ""
+        )
+
+
+class Ended(NamedTuple):
+    """A drain that stands no more: when, by whom, and whether it was restored, replaced or ran out."""
+
+    drain: Drain
+    at: float
+    by: str
+    how: str
+
+
+class Drains(NamedTuple):
+    """All drains that stand, and the last that have ended."""
+
+    epoch: float = 0.0
+    revision: int = 0
+    drains: tuple[Drain, ...] = ()
+    ended: tuple[Ended, ...] = ()
+
+    @property
+    def age(self) -> tuple[float, int]:
+        """What tells an older set from a newer one."""
+        return self.epoch, self.revision
+
+    def covering(self, entry: face.Entry, now: float) -> list[Drain]:
+        """The drains in force that mean a worker."""
+        return [drain for drain in self.drains if drain.until > now and drain.covers(entry)]
+
+    def state_of(self, entry: face.Entry, now: float) -> str:
+        """A worker's state as the module is to hear it: a drained one is leaving, whatever the list says."""
+        if entry.state == face.READY and self.covering(entry, now):
+            return face.LEAVING
+        return entry.state
+
+    def next_end(self, now: float) -> float:
+        """When the next drain in force ends by itself."""
+        return min([drain.until for drain in self.drains if drain.until > now], default=NEVER)
+
+
+def changed(
+    drains: Drains,
+    now: float,
+    but: Drain | None = None,
+    more: Drain | None = None,
+    ended: Ended | None = None,
+) -> Drains:
+    """The next set: one drain taken out, one put in, and those that ran out moved to the record."""
+    out = [Ended(drain, drain.until, "", "ran out") for drain in drains.drains if drain.until <= now]
+    out += [ended] if ended is not None else []
+    stay = [drain for drain in drains.drains if drain.until > now and drain != but]
+    return Drains(
+        drains.epoch,
+        drains.revision + 1,
+        tuple(stay + ([more] if more is not None else [])),
+        (*drains.ended, *out)[-RECORD:],
+    )
+
+
+def find(drains: Drains, what: str, name: str, now: float) -> Drain | None:
+    """The drain in force of just this worker, zone or kind."""
+    for drain in drains.drains:
+        if (drain.what, drain.name) == (what, name) and drain.until > now:
+            return drain
+    return None
+
+
+def _may(standing: Drain | None, by: str, over: int) -> None:
+    """Whoever set a drain may change it; others name the revision that is to go."""
+    if over and (standing is None or standing.revision != over):
+        there = "none stands" if standing is None else f"there is {standing.text()}"
+        raise RefusedError(f"nothing of revision {over} is there to go: {there}")
+    if standing is not None and standing.by != by and not over:
+        raise RefusedError(f"another's stands: {standing.text()}; --over {standing.revision} replaces it")
+
+
+def put(drains: Drains, wish: Drain, now: float, over: int = 0) -> Drains:
+    """Add a drain, or change the one of the same name."""
+    standing = find(drains, wish.what, wish.name, now)
+    _may(standing, wish.by, over)
+    if standing is None and sum([drain.until > now for drain in drains.drains]) >= MOST:
+        raise RefusedError(f"there are {MOST} drains already")
+    wish = wish._replace(since=now, revision=drains.revision + 1)
+    ended = Ended(standing, now, wish.by, "replaced") if standing is not None else None
+    return changed(drains, now, standing, wish, ended)
+
+
+def take(drains: Drains, what: str, name: str, by: str, now: float, over: int = 0) -> Drains:
+    """Take a drain back."""
+    standing = find(drains, what, name, now)
+    _may(standing, by, over)
+    if standing is None:
+        raise RefusedError(f"no drain of {what} {name} stands")
+    return changed(drains, now, standing, ended=Ended(standing, now, by, "restored"))
+
+
+def starved(
+    drains: Drains, entries: Iterable[face.Entry], needs: Mapping[str, str], now: float
+) -> list[str]:
+    """What would be left without a worker: categories that must go to a kind, or `any work`.
+
+    `needs` has the kind that each category must go to, empty where any will do.
+    """
+    left = {entry.kind for entry in entries if drains.state_of(entry, now) == face.READY}
+    if not left:
+        return ["any work"]
+    return [category for category, kind in needs.items() if kind and kind not in left]
+
+
+# ---------------------------------------------------------------- as plain maps, on the wire and in the file
+
+
+def told(drains: Drains) -> dict[str, Any]:
+    """A set as a plain map."""
+    return {
+        "epoch": drains.epoch,
+        "revision": drains.revision,
+        "drains": [_told(drain) for drain in drains.drains],
+        "ended": [
+            {"drain": _told(ended.drain), "at": ended.at, "by": ended.by, "how": ended.how}
+            for ended in drains.ended
+        ],
+    }
+
+
+def _told(drain: Drain) -> dict[str, Any]:
+    # No end is no number that every reader of JSON takes.
+    return drain._asdict() | {"until": None if drain.until == NEVER else drain.until}
+
+
+def _number(value: Any, what: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0.0 <= value < 1e15:
+        raise ValueError(f"{what} is {value!r}, no time or number")
+    return float(value)
+
+
+def text_of(value: Any, what: str) -> str:
+    """A text of bounded length that cannot break a line."""
+    if not isinstance(value, str) or not value.isprintable() or len(value) > LONGEST[what]:
+        raise ValueError(f"{what} is no line of at most {LONGEST[what]} characters")
+    return value
+
+
+def drain_of(value: Any) -> Drain:
+    """One drain; raises ValueError on anything else."""
+    if not isinstance(value, dict):
+        raise ValueError("a drain is no map")
+    what, until = value.get("what"), value.get("until")
+    if what not in WHATS:
+        raise ValueError(f"what is {what!r}, none of {', '.join(WHATS)}")
+    name = text_of(value.get("name"), "name")
+    if not name:
+        raise ValueError("name is empty")
+    return Drain(
+        what,
+        name,
+        text_of(value.get("by"), "by"),
+        text_of(value.get("why", ""), "why"),
+        _number(value.get("since", 0), "since"),
+        NEVER if until is None else _number(until, "until"),
+        int(_number(value.get("revision", 0), "revision")),
+    )
+
+
+def _all(value: Any, most: int, read: Callable[[Any], Any], what: str) -> tuple:
+    if not isinstance(value, list) or len(value) > most:
+        raise ValueError(f"{what} is no list of at most {most}")
+    return tuple([read(each) for each in value])
+
+
+def _ended(value: Any) -> Ended:
+    if not isinstance(value, dict):
+        raise ValueError("what ended is no map")
+    how = value.get("how")
+    if how not in ("restored", "replaced", "ran out"):
+        raise ValueError(f"how is {how!r}")
+    at = _number(value.get("at"), "at")
+    return Ended(drain_of(value.get("drain")), at, text_of(value.get("by"), "by"), how)
+
+
+def drains_of(value: Any) -> Drains:
+    """A whole set; raises ValueError on anything else."""
+    if not isinstance(value, dict):
+        raise ValueError("the set is no map")
+    return Drains(
+        _number(value.get("epoch"), "epoch"),
+        int(_number(value.get("revision"), "revision")),
+        # More may stand in it than are in force.
+        _all(value.get("drains"), 2 * MOST, drain_of, "drains"),
+        _all(value.get("ended", []), RECORD, _ended, "ended"),
+    )
--- a/dunepulley/learned.py
+++ b/dunepulley/learned.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from dunepulley.brain import Category, Dispatcher
+from dunepulley.brain import Category, Dispatcher, listed
 
 # Of workers: what was reported and when, how they run, and whether they are sick. Not turns, connections and
 # what goes with hand-offs that are out, which are each process's own.
@@ -38,6 +38,29 @@
     }
 
 
+def seen(module: Dispatcher, worker: str) -> dict[str, Any]:
+    """How one worker is seen, for people."""
+    i = module.index.get(worker)
+    if i is None:
+        return {}
+    return {
+        "out": module.own[i],
+        "others": round(module.others[i], 2),
+        "slots": module.slots[i],
+        "share": round(module.share[i], 4),
+        "on trial": module.out_step[i] > 0.0,
+    }
+
+
+def needs(module: Dispatcher) -> dict[str, str]:
+    """The kind of worker that each category must go to; empty where any will do."""
+    names = listed(module.settings.get("kinds"))
+    return {
+        name: names[category.kind] if 0 <= category.kind < len(names) else ""
+        for name, category in module.categories.items()
+    }
+
+
 def teach(module: Dispatcher, told: Any) -> None:
     """Have the module go on from what another process has learned, as far as it can be read."""
     workers = {what: _numbers(told, "workers", what) for what in OF_WORKERS}
--- a/dunepulley/net/config.py
+++ b/dunepulley/net/config.py
@@ -9,6 +9,7 @@
 
 from dunepulley import interface as face
 from dunepulley import words
+from dunepulley.drains import Drains, drains_of
 
 
 def _is_figure(value: object) -> bool:
@@ -59,6 +60,7 @@
     by_key: bool = False
     console: tuple[str, int] | None = None
     memory_mb: float = 192.0
+    drains: Drains = Drains()
     scratch: str = ""  # the folder where a successor finds this process; none without it
 
     def told(self) -> str:
@@ -112,6 +114,7 @@
             by_key,
             address_of(console) if console else None,
             float(limits.get("memory_mb", 192.0)),
+            drains_in(told.get("drains")),
             environment.get("TMPDIR", ""),
         )
     except KeyError as problem:
@@ -126,6 +129,22 @@
     return read({"ROUTER_NAME": start.name, "ROUTER_LISTEN": f"{host}:{port}"}, start.path)
 
 
+def drains_in(path: Any) -> Drains:
+    """The drains that the host's agent keeps in a file; none where there is no file yet."""
+    if path is None:
+        return Drains()
+    if not isinstance(path, str):
+        raise ValueError(f"drains is {path!r}, no path")
+    try:
+        with open(path, "rb") as file:
+            return drains_of(orjson.loads(file.read()))
+    except FileNotFoundError:
+        return Drains()
+    except (OSError, ValueError) as problem:
+        # To serve without them could send work where none may go.
+        raise ValueError(f"drains in {path}: {problem}") from problem
+
+
 def address_of(text: str) -> tuple[str, int]:
     """Host and port of `host:port`."""
     if not isinstance(text, str):
--- a/dunepulley/net/console.py
+++ b/dunepulley/net/console.py
@@ -12,13 +12,16 @@
 from dunepulley.net.counters import Counters
 from dunepulley.net.listener import Listener
 
-LINE_LIMIT = 256
+# A set of drains is a line.
+LINE_LIMIT = 65536
 # People type, programs don't: after this a caller gets its descriptor taken, whole call or not, read or not.
 PATIENCE_S = 5.0
 
 # What a call answers: whether it could be done, and the lines to tell.
 Answer = tuple[bool, str]
 Calls = dict[str, Callable[[], Awaitable[Answer]]]
+# Calls that something may stand behind.
+CallsWith = dict[str, Callable[[str], Awaitable[Answer]]]
 
 
 class Caller(asyncio.Protocol):
@@ -65,15 +68,15 @@
         self.task = asyncio.create_task(self._carry_out(line))
 
     async def _carry_out(self, line: bytes) -> None:
-        name = line.decode("ascii", "replace").strip()
-        call = self.console.calls.get(name)
-        if call is None:
+        name, _, rest = line.decode("utf-8", "replace").strip().partition(" ")
+        call, call_with = self.console.calls.get(name), self.console.calls_with.get(name)
+        if call_with is None and (call is None or rest):
             self.console.counters["console unknown"] += 1
-            self.answer(False, "calls are " + " ".join(self.console.calls))
+            self.answer(False, "calls are " + " ".join([*self.console.calls, *self.console.calls_with]))
             return
         self.console.counters[f"console {name}"] += 1
         try:
-            self.answer(*await call())
+            self.answer(*await (call_with(rest) if call_with is not None else call()))
         except Exception as problem:
             self.console.counters["faults"] += 1
             log.say("fault", f"console {name}: {problem!r}")
@@ -89,8 +92,9 @@
 class Console:
     """Answers operators' calls."""
 
-    def __init__(self, calls: Calls, room: int, counters: Counters) -> None:
+    def __init__(self, calls: Calls, calls_with: CallsWith, room: int, counters: Counters) -> None:
         self.calls = calls
+        self.calls_with = calls_with
         self.room = room
         self.counters = counters
         self.everyone: dict[Caller, None] = {}
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -13,16 +13,20 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple, Protocol
 
 from dunepulley import interface as face
 from dunepulley import learned
 from dunepulley.brain import Dispatcher, in_order
+from dunepulley.drains import NEVER, Drains
 from dunepulley.net import log
 from dunepulley.net.config import Listed
 from dunepulley.net.counters import Counters
 
+# A loop's alarm may not be set for years: look again after an hour.
+LONGEST_WAIT_S = 3600.0
+
 
 class Answer(NamedTuple):
     """What a client gets: for `Ended` the result, for `Defer` a wait in ms, for `WriteOff` nothing."""
@@ -112,6 +116,23 @@
     answer: asyncio.Future[tuple[int, int]]
 
 
+class Intended(NamedTuple):
+    """Operators' drains; the answer is whether they are taken. Older ones than those in hand are not."""
+
+    drains: Drains
+    answer: asyncio.Future[bool]
+
+
+class Viewed(NamedTuple):
+    """Somebody wants to know how each worker is seen here, and which kinds categories must go to."""
+
+    answer: asyncio.Future[tuple[list[dict[str, Any]], dict[str, str]]]
+
+
+class DrainEnded(NamedTuple):
+    """A drain's time is up, or it is time to look whether one is."""
+
+
 class Summed(NamedTuple):
     """Another process is to go on from what the module has learned."""
 
@@ -192,6 +213,9 @@
         self.entries: dict[str, face.Entry] = {}
         self.addresses: dict[str, str] = {}
         self.ready: set[str] = set()
+        # Operators' drains lie over the list; what the module is told is both together.
+        self.drains = Drains()
+        self.drains_end: asyncio.TimerHandle | None = None
         self.usable = asyncio.Event()  # once a worker was known that takes work
         self.alarms: set[asyncio.TimerHandle] = set()
         self.events: list[Any] = []
@@ -224,6 +248,8 @@
         finally:
             for alarm in self.alarms:
                 alarm.cancel()
+            if self.drains_end is not None:
+                self.drains_end.cancel()
             self.alarms.clear()
 
     def _decide(self) -> None:
@@ -315,10 +341,59 @@
                 self.addresses.pop(entry.worker, None)
             else:
                 self.addresses[entry.worker] = address
+        self._tell_list(message.news.how, message.news.entries)
+
+    def _tell_list(self, how: str, entries: Iterable[face.Entry]) -> None:
+        """Tell the module news of the list, with the drains laid over it."""
+        laid = [entry._replace(state=self.drains.state_of(entry, self.now)) for entry in entries]
+        for entry in laid:
             (self.ready.add if entry.state == face.READY else self.ready.discard)(entry.worker)
         if self.ready:
             self.usable.set()
-        self.events.append(message.news)
+        self.events.append(face.ListNews(how, tuple(laid)))
+
+    def _read_intended(self, message: Intended) -> None:
+        taken = message.drains.age >= self.drains.age
+        if taken:
+            self.drains = message.drains
+            self._lay_drains()
+        if not message.answer.done():
+            message.answer.set_result(taken)
+
+    def _read_drain_ended(self, message: DrainEnded) -> None:
+        self._lay_drains()
+
+    def _lay_drains(self) -> None:
+        """Tell the module of the workers whose state is another with the drains that stand now."""
+        entries = self.entries.values()
+        ready = {entry.worker for entry in entries if self.drains.state_of(entry, self.now) == face.READY}
+        other = [entry for entry in entries if (entry.worker in ready) != (entry.worker in self.ready)]
+        if other:
+            self._tell_list(face.CHANGES, other)
+        if self.drains_end is not None:
+            self.drains_end.cancel()
+            self.drains_end = None
+        left = self.drains.next_end(self.now) - self.now
+        if left < NEVER:
+            wait = min(LONGEST_WAIT_S, left / 1000.0)
+            self.drains_end = asyncio.get_running_loop().call_later(wait, self.put, DrainEnded())
+
+    def _read_viewed(self, message: Viewed) -> None:
+        if message.answer.done():
+            return
+        views = [
+            {
+                "id": entry.worker,
+                "zone": entry.zone,
+                "kind": entry.kind,
+                "listed": entry.state,
+                "state": self.drains.state_of(entry, self.now),
+                "drains": [drain.text() for drain in self.drains.covering(entry, self.now)],
+            }
+            | learned.seen(self.dispatcher, entry.worker)
+            for entry in self.entries.values()
+        ]
+        message.answer.set_result((views, learned.needs(self.dispatcher)))
 
     def _read_asked(self, message: Asked) -> None:
         if not message.answer.done():
@@ -449,6 +524,9 @@
     Told: Core._read_told,
     Listed: Core._read_listed,
     Asked: Core._read_asked,
+    Intended: Core._read_intended,
+    DrainEnded: Core._read_drain_ended,
+    Viewed: Core._read_viewed,
     Summed: Core._read_summed,
     Taught: Core._read_taught,
     face.Probed: Core._read_event,
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -6,16 +6,20 @@
 import contextlib
 import gc
 import logging
+import os
 import resource
 import signal
 import socket
 from typing import Any
 
+import orjson
+
+from dunepulley import VERSION, drains
 from dunepulley import interface as face
 from dunepulley.net import config, figures, handover, log
 from dunepulley.net.clients import DRAINED, ENDING, HANDED, Clients
 from dunepulley.net.console import Answer, Console
-from dunepulley.net.core import Asked, Core, Summed, Taught
+from dunepulley.net.core import Asked, Core, DrainEnded, Intended, Summed, Taught, Viewed
 from dunepulley.net.counters import Counters
 from dunepulley.net.discovery import Discovery
 from dunepulley.net.peers import Peers
@@ -54,8 +58,16 @@
         self.clients = Clients(self.core, start.settings, sockets, self.counters, start.by_key)
         # A sixteenth of the memory for what has come of requests that are not whole.
         self.clients.server.most_bytes = int(start.memory_mb * 65536)
-        calls = {"HEALTH": self._health, "DUMP": self._dump, "LEAVE": self._leave, "JOIN": self._join}
-        self.console = Console(calls, max(4, sockets // 16), self.counters)
+        calls = {
+            "HEALTH": self._health,
+            "DUMP": self._dump,
+            "LEAVE": self._leave,
+            "JOIN": self._join,
+            "WHO": self._who,
+            "WORKERS": self._workers,
+        }
+        room = max(4, sockets // 16)
+        self.console = Console(calls, {"DRAINS": self._drains}, room, self.counters)
         path = handover.path_of(start.scratch, *start.listen)
         self.handover = handover.Handover(self, path, self.counters)
         self.clients.callbacks.elsewhere = self.handover.pass_on
@@ -69,7 +81,11 @@
 
     async def start(self) -> None:
         """Begin to listen and to watch."""
+        for known in (self.start_with.drains, inherited_drains(self.inherited)):
+            # Before the list is looked at: nothing goes to a drained worker, not even at first.
+            self.core.drains = max(self.core.drains, known, key=lambda some: some.age)
         self.task = asyncio.create_task(self.core.run())
+        self.core.put(DrainEnded())
         self.task.add_done_callback(self._task_ended)
         self._watch(self.start_with.known.revision)
         host, port = self.start_with.listen
@@ -141,7 +157,7 @@
         """What a successor starts from."""
         core = self.core
         known = config.told_of(core.entries.values(), core.addresses, core.revision)
-        return {"known": known, "discovery": self.discovery}
+        return {"known": known, "discovery": self.discovery, "drains": drains.told(core.drains)}
 
     def listening(self) -> socket.socket:
         """The socket that clients connect to, which the successor shares."""
@@ -217,6 +233,34 @@
         joined = self.clients.join()
         return joined, "joined" if joined else self.clients.leaving
 
+    async def _who(self) -> Answer:
+        told = {"name": self.start_with.name, "pid": os.getpid(), "version": VERSION}
+        told |= {"leaving": self.clients.leaving, "drains": self.core.drains.age}
+        return True, orjson.dumps(told).decode()
+
+    async def _workers(self) -> Answer:
+        viewed = Viewed(asyncio.get_running_loop().create_future())
+        self.core.put(viewed)
+        workers, needs = await viewed.answer
+        lines = [orjson.dumps(worker).decode() for worker in workers]
+        return True, "\n".join([orjson.dumps({"needs": needs}).decode(), *lines, "EOF"])
+
+    async def _drains(self, text: str) -> Answer:
+        """Tell the drains in hand, or take those in the text."""
+        if not text:
+            return True, orjson.dumps(drains.told(self.core.drains)).decode()
+        try:
+            wanted = drains.drains_of(orjson.loads(text))
+        except ValueError as problem:
+            return False, f"no set of drains: {problem}".replace("\n", " ")
+        taken = await self._intend(wanted)
+        return taken, f"revision {self.core.drains.revision} is in hand"
+
+    async def _intend(self, wanted: drains.Drains) -> bool:
+        intended = Intended(wanted, asyncio.get_running_loop().create_future())
+        self.core.put(intended)
+        return await intended.answer
+
     # ---------------------------------------------------------------- the end
 
     async def finish(self) -> None:
@@ -312,3 +356,12 @@
         return start.known
     # The versions of one discovery say nothing to another.
     return known if inherited.told.get("discovery") == start.discovery else known._replace(revision=0)
+
+
+def inherited_drains(inherited: handover.Inherited | None) -> drains.Drains:
+    """The drains that the process before this one has."""
+    try:
+        return drains.drains_of(inherited.told.get("drains")) if inherited is not None else drains.Drains()
+    except ValueError as problem:
+        log.say("handover", f"no drains were passed on: {problem}")
+        return drains.Drains()
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -27,12 +27,12 @@
         ("HEALTH", "200 ready\n"),  # the caller's end ends the line, too
         ("LEAVE\n", "200 drained\n"),
         ("JOIN\n", "200 joined\n"),
-        ("health\n", "400 calls are HEALTH DUMP LEAVE JOIN\n"),
-        ("\n", "400 calls are HEALTH DUMP LEAVE JOIN\n"),
-        ("\0\x7fLEAVE\n", "400 calls are HEALTH DUMP LEAVE JOIN\n"),
-        ("LEAVE now\n", "400 calls are HEALTH DUMP LEAVE JOIN\n"),
+        ("health\n", "400 calls are HEALTH DUMP LEAVE JOIN WHO WORKERS DRAINS\n"),
+        ("\n", "400 calls are HEALTH DUMP LEAVE JOIN WHO WORKERS DRAINS\n"),
+        ("\0\x7fLEAVE\n", "400 calls are HEALTH DUMP LEAVE JOIN WHO WORKERS DRAINS\n"),
+        ("LEAVE now\n", "400 calls are HEALTH DUMP LEAVE JOIN WHO WORKERS DRAINS\n"),
         ("HEALTH\nLEAVE\n", "400 one line a connection\n"),
-        ("LEAVE" * 100, "400 the line is too long\n"),
+        ("LEAVE" * 14000, "400 the line is too long\n"),
         ("", ""),
     ],
 )
