An agent for a host and a tool: drains that last, dispatchers restarted one by one

Need: staff drain a site's workers at every dispatcher from one terminal. dunepulley/agent: a checked file, the drains in a file written whole, a task for each dispatcher that compares revisions, a wire of one line each way, ctl with exit codes. Found by it: a callback passed on over a link that had just ended waited a second and got 503; it is answered at once now.

--- a/dunepulley/__main__.py
+++ b/dunepulley/__main__.py
@@ -9,6 +9,7 @@
 import sys
 
 from dunepulley import VERSION
+from dunepulley.agent import ctl
 from dunepulley.net import config, service
 
 
@@ -19,11 +20,18 @@
     for name, text in (("serve", "run one dispatcher"), ("check", "say what the configuration holds")):
         command = commands.add_parser(name, help=text)
         command.add_argument("--config", help="configuration file, in place of $ROUTER_CONFIG")
+    command = commands.add_parser("agent", help="look after the dispatchers of a host")
+    command.add_argument("--config", required=True, help="the agent's file")
+    ctl.add_to(commands.add_parser("ctl", help="have agents show, drain, restore or restart"))
     commands.add_parser("version", help="print the version")
     chosen = parser.parse_args(arguments)
     if chosen.command == "version":
         print(f"dunepulley {VERSION}")
         return 0
+    if chosen.command == "ctl":
+        return ctl.run(chosen)
+    if chosen.command == "agent":
+        return look_after(chosen.config)
     # Most objects live for one work item; looking for cycles after every few hundred finds none.
     gc.set_threshold(50_000, 20, 100)
     try:
@@ -37,5 +45,18 @@
         return 2
 
 
+def look_after(path: str) -> int:
+    """Run a host's agent; the exit code."""
+    # A dispatcher carries nothing of this in its memory.
+    from dunepulley.agent import agent, store
+    from dunepulley.agent import config as agent_config
+
+    try:
+        return asyncio.run(agent.serve(agent_config.read(path)))
+    except (agent_config.UnusableError, store.StoreError) as problem:
+        print(f"dunepulley: {problem}", file=sys.stderr)
+        return 2
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/dunepulley/agent/wire.py
@@ -0,0 +1,66 @@
+"""The wire between tool and agent: a line of JSON each way, then the end (docs/design-agent.md)."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+
+import orjson
+
+VERSION = 1
+# An answer that shows a thousand workers at twenty dispatchers has about as much.
+LIMIT = 4 * 1024 * 1024
+
+
+class WireError(Exception):
+    """No answer that can be used; the text says why in one line."""
+
+
+def address_of(text: Any) -> tuple[str, int]:
+    """Host and port of `host:port`; raises ValueError on anything else."""
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no host:port")
+    return host.strip("[]"), int(port)
+
+
+def line_of(what: dict[str, Any]) -> bytes:
+    """A request or an answer as it goes over the wire."""
+    return orjson.dumps({"v": VERSION} | what) + b"\n"
+
+
+def read(line: bytes, who: str) -> dict[str, Any]:
+    """A request or an answer as it came."""
+    try:
+        what = orjson.loads(line)
+    except orjson.JSONDecodeError as problem:
+        raise WireError(f"{who} sent no JSON") from problem
+    if not isinstance(what, dict) or "v" not in what:
+        raise WireError(f"{who} speaks another wire")
+    if what["v"] != VERSION:
+        raise WireError(f"{who} speaks version {str(what['v'])[:20]} of the wire, this is version {VERSION}")
+    return what
+
+
+async def ask(address: str, what: dict[str, Any], limit_s: float) -> dict[str, Any]:
+    """What an agent answers."""
+    writer = None
+    try:
+        async with asyncio.timeout(limit_s):
+            reader, writer = await asyncio.open_connection(*address_of(address), limit=LIMIT)
+            writer.write(line_of(what))
+            line = await reader.readuntil(b"\n")
+    except TimeoutError as problem:
+        raise WireError(f"the agent at {address} did not answer within {limit_s:g} s") from problem
+    except asyncio.LimitOverrunError as problem:
+        raise WireError(f"the agent at {address} answers without end") from problem
+    except asyncio.IncompleteReadError as problem:
+        raise WireError(f"the agent at {address} ended before its answer did") from problem
+    except OSError as problem:
+        raise WireError(f"no agent at {address}: {problem.strerror or problem}") from problem
+    finally:
+        if writer is not None:
+            with contextlib.suppress(OSError):
+                writer.close()
+    return read(line, f"the agent at {address}")
--- a/dunepulley/net/handover.py
+++ b/dunepulley/net/handover.py
@@ -132,6 +132,7 @@
         self.reader = reader
         self.writer = writer
         self.asked: dict[int, asyncio.Future[dict[str, Any]]] = {}
+        self.ended = False
         self.number = 0
 
     @classmethod
@@ -159,6 +160,8 @@
 
     async def ask(self, body: bytes) -> int | None:
         """What the neighbour answers to a callback; None if neither it nor one beyond it holds the item."""
+        if self.ended:
+            return None
         self.number += 1
         number = self.number
         answer = self.asked[number] = asyncio.get_running_loop().create_future()
@@ -173,6 +176,7 @@
 
     def close(self) -> None:
         """Nothing more comes: whoever waits hears that nobody holds the item."""
+        self.ended = True
         self.writer.close()
         for answer in self.asked.values():
             if not answer.done():
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,20 +1,19 @@
 """An upgrade with two real processes, and the handover's hard cases beside it."""
 
 import asyncio
-import contextlib
 import json
 import os
 import signal
 import socket
-import sys
 import threading
 
 import pytest
 from helpers import (
-    SILENT,
+    HEALTH,
     TAKEN,
-    Peer,
+    WORKERS,
     Rig,
+    Site,
     Town,
     entry,
     member,
@@ -23,7 +22,6 @@
     on_loop,
     read_call,
     request,
-    say_to,
     until,
 )
 
@@ -31,136 +29,11 @@
 from dunepulley import learned
 from dunepulley.net import config, handover
 
-HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
-WORKERS = 4
-
 
 def taken(call):
     return TAKEN
 
 
-def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        return free.getsockname()[1]
-
-
-class Site:
-    """What the processes of one dispatcher share: addresses, $TMPDIR, workers, discovery."""
-
-    def __init__(self, folder, scratch=True):
-        self.folder = folder
-        self.scratch = folder / "tmp"
-        self.scratch.mkdir()
-        self.environment = {name: value for name, value in os.environ.items() if name != "TMPDIR"}
-        if scratch:
-            self.environment["TMPDIR"] = str(self.scratch)
-        self.port = free_port()
-        self.path = handover.path_of(str(self.scratch), "127.0.0.1", self.port)
-        self.nodes = []
-
-    async def __aenter__(self):
-        self.worker = await Peer(taken).__aenter__()
-        self.watch = await Peer(lambda call: SILENT).__aenter__()
-        return self
-
-    async def __aexit__(self, *_):
-        for node in self.nodes:
-            if node.process.returncode is None:
-                node.process.kill()
-            await node.process.wait()
-        await self.worker.__aexit__()
-        await self.watch.__aexit__()
-
-    async def start(self, known=WORKERS):
-        """Start one more process; it may or may not come to serve."""
-        node = Node(self)
-        self.nodes.append(node)
-        await node.start(known)
-        return node
-
-    async def serving(self):
-        """Start one more process and wait until it serves."""
-        node = await self.start()
-        await node.serves()
-        return node
-
-    async def say(self, raw):
-        return await say_to(self.port, raw)
-
-    async def open(self, raw):
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        writer.write(raw)
-        return reader, writer
-
-    async def event(self, wi, state="done"):
-        """A callback from each worker; only one has the item. What the answers were."""
-        told = []
-        for worker in range(WORKERS):
-            body = json.dumps({"id": wi, "from": f"w{worker}", "state": state, "result": wi}).encode()
-            told.append((await self.say(request("/v1/job-events", body, wi=None))).target)
-        return set(told)
-
-    async def seen(self, *wanted):
-        """Wait until the workers have each of these once."""
-        await until(lambda: sorted(self.given()) == sorted(wanted))
-
-    def given(self):
-        return [call.headers["x-call-id"] for call in self.worker.seen if call.method == "POST"]
-
-
-class Node:
-    """One process."""
-
-    def __init__(self, site):
-        self.site = site
-        self.console = free_port()
-
-    async def start(self, known):
-        workers = [member(f"w{number}", self.site.worker.address) for number in range(known)]
-        category = {"name": "look", "effect": "read_like", "dueTimeUs": 3000000, "expiryUs": 4000000}
-        told = {
-            "name": "n0",
-            "listen": f"127.0.0.1:{self.site.port}",
-            "discovery": self.site.watch.address,
-            "console": f"127.0.0.1:{self.console}",
-            "limits": {"sockets": 256},
-            "known": members(*workers, revision=7),
-            "settings": {"categories": [category], "policyLimits": {"mostHandOffs": 5}},
-        }
-        path = self.site.folder / f"config-{self.console}.json"
-        path.write_text(json.dumps(told))
-        self.process = await asyncio.create_subprocess_exec(
-            *[sys.executable, "-m", "dunepulley", "serve", "--config", str(path)],
-            stderr=asyncio.subprocess.PIPE,
-            env=self.site.environment,
-        )
-
-    async def call(self, line):
-        """What its console answers; nothing where it does not listen."""
-        with contextlib.suppress(OSError):
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.console)
-            writer.write(line.encode() + b"\n")
-            told = (await reader.read()).decode()
-            writer.close()
-            return told
-        return ""
-
-    async def serves(self):
-        async with asyncio.timeout(8.0):
-            while not (await self.call("HEALTH")).startswith("200"):
-                assert self.process.returncode is None
-                await asyncio.sleep(0.01)
-
-    async def figure(self, name):
-        lines = (await self.call("DUMP")).splitlines()
-        return next((line.split(":")[1] for line in lines if line.startswith(f"edge_router.{name}:")), None)
-
-    async def ends(self):
-        """Its exit code and its log."""
-        said = (await self.process.stderr.read()).decode()
-        return await self.process.wait(), said
-
-
 async def until_listening(node):
     async with asyncio.timeout(8.0):
         while not await node.call("HEALTH"):
@@ -397,6 +270,8 @@
         assert (await town.event("w0", "done", "elsewhere", result="x")).target == "503"
         assert json.loads(other.recv(9999))["callback"]
         link.close()
+        # Asked after its end, as by who still has it in hand: at once, and not as of a holder that is silent.
+        assert await link.ask(b"x") is None
         town.service.handover.older = None
         # Nobody's: late, or of a process that has gone.
         assert (await town.event("w0", "done", "elsewhere", result="x")).target == "204"
