--- /dev/null
+++ b/bench/standin.py
@@ -0,0 +1,168 @@
+"""Stand-ins for what dispatchers speak with: a list of workers, workers, and clients; one process for all.
+
+They speak the protocol that the dispatchers speak, no more of it than a measurement needs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+from typing import Any, NamedTuple
+
+import aiohttp
+from aiohttp import web
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that nobody listens at now."""
+    import socket
+
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in held]
+    for one in held:
+        one.close()
+    return ports
+
+
+class Sent(NamedTuple):
+    """A hand-off as a worker saw it begin."""
+
+    at: float
+    instance: str
+    worker: str
+    wi: str
+
+
+class Workers:
+    """Workers that take what comes, and say some milliseconds later that it is done.
+
+    A work item's id begins with the name of the instance that was given it, and a point: callbacks go there.
+    """
+
+    def __init__(self, zones: list[str], runs_ms: float, addresses: dict[str, str]) -> None:
+        self.zones = zones
+        self.runs_ms = runs_ms
+        self.addresses = addresses
+        self.sent: list[Sent] = []
+        self.sites: list[web.ServerRunner] = []
+        self.members: list[dict[str, Any]] = []
+        self.tasks: set[asyncio.Task] = set()
+
+    async def __aenter__(self) -> Workers:
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        for number, zone in enumerate(self.zones):
+            name = f"w{number}"
+            runner = web.ServerRunner(web.Server(self._taker(name), access_log=None))
+            await runner.setup()
+            site = web.TCPSite(runner, "127.0.0.1", 0)
+            await site.start()
+            self.sites.append(runner)
+            port = runner.addresses[0][1]
+            self.members.append(
+                {"id": name, "host_port": f"127.0.0.1:{port}", "locality": zone, "flavor": "box", "cell": 0}
+                | {"phase": "Ready", "size": 1.0, "up_since_ms": 0}
+            )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for runner in self.sites:
+            await runner.cleanup()
+        await self.session.close()
+
+    def _taker(self, name: str) -> Any:
+        async def take(request: web.BaseRequest) -> web.Response:
+            at = time.time() * 1000.0
+            if request.method != "POST":
+                return web.Response(status=204 if request.method == "DELETE" else 404)
+            await request.read()
+            wi = request.headers.get("X-Call-Id", "")
+            instance = wi.partition(".")[0]
+            self.sent.append(Sent(at, instance, name, wi))
+            task = asyncio.create_task(self._run(name, instance, wi))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            return web.Response(status=202)
+
+        return take
+
+    async def _run(self, name: str, instance: str, wi: str) -> None:
+        await asyncio.sleep(self.runs_ms / 1000.0)
+        body = json.dumps({"id": wi, "from": name, "state": "done", "result": "made"}).encode()
+        for _ in range(10):
+            with contextlib.suppress(aiohttp.ClientError, OSError):
+                url = f"http://{self.addresses[instance]}/v1/job-events"
+                async with self.session.post(url, data=body) as told:
+                    if told.status in (200, 204):
+                        return
+            await asyncio.sleep(0.2)
+
+
+class Discovery:
+    """A list of workers that stays as it is; watches stay open."""
+
+    def __init__(self, members: list[dict[str, Any]]) -> None:
+        self.list = {"revision": 1, "complete": True, "members": members}
+
+    async def __aenter__(self) -> Discovery:
+        server = web.Server(self._watch, access_log=None)
+        self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        self.address = f"127.0.0.1:{self.runner.addresses[0][1]}"
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.runner.cleanup()
+
+    async def _watch(self, request: web.BaseRequest) -> web.StreamResponse:
+        answer = web.StreamResponse()
+        await answer.prepare(request)
+        line = json.dumps(self.list).encode() + b"\n"
+        with contextlib.suppress(ConnectionError):
+            while True:
+                await answer.write(line)
+                line = b"\n"
+                await asyncio.sleep(2.0)
+        return answer
+
+
+class Clients:
+    """Work items for one instance at a steady rate, whatever becomes of those before (open loop)."""
+
+    def __init__(self, instance: str, address: str, rate: float, session: aiohttp.ClientSession) -> None:
+        self.instance = instance
+        self.url = f"http://{address}/look/x"
+        self.rate = rate
+        self.session = session
+        self.answers: dict[str, int] = {}
+        self.open: set[asyncio.Task] = set()
+
+    async def run(self, stop: asyncio.Event, most_s: float) -> None:
+        """Send until told to stop, for so long at most, then wait for what is open."""
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        for number in range(int(most_s * self.rate)):
+            # Due by the clock, not by the answer before.
+            await asyncio.sleep(max(0.0, begun + number / self.rate - loop.time()))
+            if stop.is_set():
+                break
+            task = asyncio.create_task(self._one(f"{self.instance}.{number}"))
+            self.open.add(task)
+            task.add_done_callback(self.open.discard)
+        if self.open:
+            await asyncio.wait(set(self.open), timeout=5.0)
+
+    async def _one(self, wi: str) -> None:
+        headers = {"X-Call-Id": wi, "X-Budget-Ms": "3000"}
+        try:
+            async with asyncio.timeout(4.0), self.session.post(self.url, data=b"x", headers=headers) as told:
+                await told.read()
+                how = str(told.status)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            how = "no answer"
+        self.answers[how] = self.answers.get(how, 0) + 1
--- a/dunepulley/__main__.py
+++ b/dunepulley/__main__.py
@@ -10,7 +10,6 @@
 
 from dunepulley import VERSION
 from dunepulley.agent import ctl
-from dunepulley.net import config, service
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -32,6 +31,14 @@
         return ctl.run(chosen)
     if chosen.command == "agent":
         return look_after(chosen.config)
+    return dispatch(chosen)
+
+
+def dispatch(chosen: argparse.Namespace) -> int:
+    """Run a dispatcher, or say what its configuration holds; the exit code."""
+    # The tool is typed, and waits for none of this.
+    from dunepulley.net import config, service
+
     # Most objects live for one work item; looking for cycles after every few hundred finds none.
     gc.set_threshold(50_000, 20, 100)
     try:
--- a/dunepulley/agent/agent.py
+++ b/dunepulley/agent/agent.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -21,6 +22,8 @@
 
 # So often every dispatcher is asked whether it goes by the set, if nothing has changed.
 LOOK_S = 1.0
+# Who answers at all, answers in a few ms, unless its machine is overloaded.
+SOON_S = 0.3
 # A restart may take as long as the longest work item.
 LONGEST_S = 3600.0
 # Who asks, has a second to say what.
@@ -221,7 +224,8 @@
         async def look(one: Dispatcher) -> Result:
             if one.who is None:
                 raise SilentError(one.trouble)
-            return {"drains": one.who.drains[1]} | ({} if one.has(self.drains) else {"state": UNKNOWN})
+            state = {} if one.has(self.drains) else {"state": UNKNOWN}
+            return {"drains": one.who.drains[1], "told": one.told_at} | state
 
         return told | await self._of_each(list(self.dispatchers.values()), look)
 
@@ -258,8 +262,8 @@
     async def _look_before(self, wish: drains.Drain, wanted: drains.Drains, now: float) -> None:
         """Refuse a drain that means nobody, or after which a dispatcher could not serve a category."""
 
-        async def look(one: Dispatcher) -> Result:
-            needs, workers = await one.workers()
+        async def look(one: Dispatcher, limit_s: float) -> Result:
+            needs, workers = await one.workers(limit_s)
             entries = [
                 face.Entry(
                     str(each.get("id")),
@@ -277,8 +281,13 @@
                 "without": [category for category in without if category not in before],
             }
 
-        looks = (await self._of_each(list(self.dispatchers.values()), look))["dispatchers"]
-        seen = [one for one in looks if one["state"] == DONE]
+        # One that hangs must not hold up a drain at the others; if none answers so soon, they get their time.
+        for limit_s in (SOON_S, self.start_with.answer_s):
+            does = functools.partial(look, limit_s=limit_s)
+            looks = (await self._of_each(list(self.dispatchers.values()), does))["dispatchers"]
+            seen = [one for one in looks if one["state"] == DONE]
+            if seen:
+                break
         for one in seen:
             if one["without"]:
                 left = ", ".join(one["without"])
--- a/dunepulley/agent/instance.py
+++ b/dunepulley/agent/instance.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import signal
+import time
 from typing import Any, NamedTuple
 
 import orjson
@@ -15,6 +16,7 @@
 from dunepulley.agent.wire import address_of
 
 LIMIT = 4 * 1024 * 1024
+NEVER = float("inf")
 
 
 class SilentError(Exception):
@@ -67,6 +69,7 @@
         # The process that takes clients, and why there is none to speak with.
         self.who: Who | None = None
         self.trouble = "not asked yet"
+        self.told_at = 0.0  # when it was last given a set, by the agent's clock
         self.busy = ""  # what an operator is having done with it
         self.heard = asyncio.Condition()
 
@@ -100,11 +103,13 @@
             processes = await self._processes()
             for number, who in enumerate(processes):
                 if who.drains < wanted.age:
+                    told = time.time() * 1000.0
                     line = "DRAINS " + orjson.dumps(drains.told(wanted._replace(ended=()))).decode()
                     done, text = await call(who.console, line, self.answer_s)
                     if not done:
                         raise SilentError(f"did not take the drains: {text}")
                     processes[number] = who._replace(drains=wanted.age)
+                    self.told_at = told
             self.who, self.trouble = processes[0], ""
         except SilentError as problem:
             self.who, self.trouble = None, str(problem)
@@ -115,15 +120,15 @@
         """Whether it is known to go by this set, or a newer one."""
         return self.who is not None and self.who.drains >= wanted.age
 
-    async def say(self, line: str) -> tuple[bool, str]:
+    async def say(self, line: str, limit_s: float = NEVER) -> tuple[bool, str]:
         """A call to the process that serves."""
         if self.who is None:
             raise SilentError(self.trouble)
-        return await call(self.who.console, line, self.answer_s)
+        return await call(self.who.console, line, min(limit_s, self.answer_s))
 
-    async def workers(self) -> tuple[dict[str, str], list[dict[str, Any]]]:
+    async def workers(self, limit_s: float = NEVER) -> tuple[dict[str, str], list[dict[str, Any]]]:
         """The kinds that categories need, and each worker as this dispatcher sees it."""
-        _, text = await self.say("WORKERS")
+        _, text = await self.say("WORKERS", limit_s)
         try:
             first, *lines, last = text.split("\n")
             if last != "EOF":
