--- a/dunepulley/__main__.py
+++ b/dunepulley/__main__.py
@@ -10,6 +10,7 @@
 
 from dunepulley import VERSION
 from dunepulley.agent import ctl
+from dunepulley.model import command as model
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -22,11 +23,14 @@
     command = commands.add_parser("agent", help="look after the dispatchers of a host")
     command.add_argument("--config", required=True, help="the agent's file")
     ctl.add_to(commands.add_parser("ctl", help="have agents show, drain, restore or restart"))
+    model.add_to(commands)
     commands.add_parser("version", help="print the version")
     chosen = parser.parse_args(arguments)
     if chosen.command == "version":
         print(f"dunepulley {VERSION}")
         return 0
+    if chosen.command in ("model", "compare"):
+        return model.run(chosen)
     if chosen.command == "ctl":
         return ctl.run(chosen)
     if chosen.command == "agent":
--- /dev/null
+++ b/dunepulley/model/compare.py
@@ -0,0 +1,152 @@
+"""Days played with many seeds, and two ways of deciding compared on the same ones."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import tomllib
+from concurrent.futures import ProcessPoolExecutor
+from typing import Any, NamedTuple
+
+import numpy as np
+
+from dunepulley.brain import Dispatcher
+from dunepulley.model import day as days
+from dunepulley.model.world import World, module_of
+
+# Resamples of the seeds; more moves an end of the interval by less than what is printed.
+RESAMPLES = 10_000
+LEVEL = 0.95
+
+
+class Way(NamedTuple):
+    """One way of deciding: settings over the day's own, and another version of the module, if any."""
+
+    settings: dict[str, Any]
+    module: str = ""
+
+
+def play(day: days.Day, seed: int, way: Way) -> dict[str, Any]:
+    """One day with one seed."""
+    build = module_of(way.module) if way.module else Dispatcher
+    return World(day, seed, build, way.settings).run() | {"seed": seed}
+
+
+def play_all(day: days.Day, seeds: list[int], ways: list[Way], processes: int) -> list[list[dict[str, Any]]]:
+    """Every seed with every way, in order, over some processes."""
+    jobs = [(day, seed, way) for way in ways for seed in seeds]
+    if processes <= 1:
+        found = [play(*job) for job in jobs]
+    else:
+        with ProcessPoolExecutor(processes) as pool:
+            found = list(pool.map(play, *zip(*jobs, strict=True)))
+    return [found[at : at + len(seeds)] for at in range(0, len(found), len(seeds))]
+
+
+def interval(figures: list[float]) -> tuple[float, float, float]:
+    """The mean, and where it lies with 95% by a bootstrap over the seeds; the same for the same figures."""
+    some = np.asarray(figures, dtype=float)
+    draws = np.random.default_rng(0).integers(0, len(some), (RESAMPLES, len(some)))
+    low, high = np.percentile(some[draws].mean(axis=1), [50.0 * (1 - LEVEL), 50.0 * (1 + LEVEL)])
+    return float(some.mean()), float(low), float(high)
+
+
+def compared(one: list[dict[str, Any]], two: list[dict[str, Any]]) -> dict[str, Any]:
+    """Two ways on the same seeds: what each earns, the difference with its interval, and what that says."""
+    pairs = list(zip(one, two, strict=True))
+    assert all([a["seed"] == b["seed"] for a, b in pairs]), "not the same seeds"
+    broken = [f"{name}, seed {run['seed']}: {each}" for name, some in (("a", one), ("b", two))
+              for run in some for each in run["broken"]]  # fmt: skip
+    mean, low, high = interval([b["payoff"] - a["payoff"] for a, b in pairs])
+    if broken:
+        says = "a rule is broken: the comparison counts for nothing"
+    elif len(pairs) < 3:
+        says = "too few seeds to say anything"
+    elif low > 0.0 or high < 0.0:
+        says = f"b is {'better' if low > 0.0 else 'worse'}"
+    else:
+        says = f"no difference seen; one of {max(abs(low), abs(high)):.4f} could still be"
+    return {
+        "a": interval([run["payoff"] for run in one]),
+        "b": interval([run["payoff"] for run in two]),
+        "difference": (mean, low, high),
+        "seeds": len(pairs),
+        "broken": broken,
+        "says": says,
+    }
+
+
+# ---------------------------------------------------------------- the command line
+
+
+def settings_in(path: str) -> dict[str, Any]:
+    """Settings of the module, in its own words, from a TOML file; tables are joined to names by points."""
+    settings: dict[str, Any] = {}
+
+    def walk(name: str, value: Any) -> None:
+        if isinstance(value, dict):
+            for inner, each in value.items():
+                walk(f"{name}.{inner}" if name else inner, each)
+        elif isinstance(value, bool | str):
+            settings[name] = value
+        elif isinstance(value, int | float):
+            settings[name] = float(value)
+        else:
+            raise ValueError(f"{name} is neither a number, a text nor true or false")
+
+    try:
+        with open(path, "rb") as file:
+            walk("", tomllib.load(file))
+    except OSError as problem:
+        raise days.UnusableError(f"cannot read {path}: {problem.strerror}") from problem
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, ValueError) as problem:
+        raise days.UnusableError(f"{path}: {problem}") from problem
+    return settings
+
+
+def run(chosen: argparse.Namespace) -> int:
+    """Carry out one of them; 1 where a rule was broken, 2 where the words or files cannot be used."""
+    try:
+        day = days.read(chosen.day)
+        files = [chosen.settings] if chosen.command == "model" else [chosen.a, chosen.b]
+        modules = [""] if chosen.command == "model" else [chosen.a_module, chosen.b_module]
+        ways = [
+            Way(settings_in(file) if file else {}, module)
+            for file, module in zip(files, modules, strict=True)
+        ]
+        for way in ways:
+            if way.module:
+                module_of(way.module)
+    except (days.UnusableError, ValueError) as problem:
+        print(f"dunepulley: {problem}", file=sys.stderr)
+        return 2
+    found = play_all(day, chosen.seeds, ways, chosen.processes)
+    if chosen.command == "model":
+        return _tell_runs(found[0], chosen.json)
+    told = compared(*found)
+    if chosen.json:
+        print(json.dumps(told | {"runs": found}, indent=2))
+    else:
+        for name in ("a", "b", "difference"):
+            mean, low, high = told[name]
+            print(f"{name:<11} {mean:+.4f}  from {low:+.4f} to {high:+.4f}")
+        print(f"over {told['seeds']} seeds: {told['says']}")
+        for each in told["broken"]:
+            print(each)
+    return 1 if told["broken"] else 0
+
+
+def _tell_runs(runs: list[dict[str, Any]], as_json: bool) -> int:
+    broken = any([one["broken"] for one in runs])
+    if as_json:
+        print(json.dumps(runs, indent=2))
+        return 1 if broken else 0
+    for one in runs:
+        counts = "  ".join([f"{name} {one[name]}" for name in ("in time", "late", "deferred", "written off")])
+        print(f"seed {one['seed']:<5} payoff {one['payoff']:.4f}  {counts}  wasted {one['wasted']:.3f}")
+        for each in one["broken"]:
+            print(f"  broken, {each}")
+    mean, low, high = interval([one["payoff"] for one in runs])
+    print(f"payoff in time {mean:.4f}, from {low:.4f} to {high:.4f} over {len(runs)} seeds")
+    return 1 if broken else 0
--- /dev/null
+++ b/dunepulley/model/day.py
@@ -0,0 +1,202 @@
+"""What a day is made of: sizes, traffic, workers, ways and troubles, read from a file and checked."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Any, NamedTuple, get_type_hints
+
+from dunepulley import interface as face
+
+
+class UnusableError(Exception):
+    """The description cannot be used; the text says why in one line."""
+
+
+class Category(NamedTuple):
+    """One kind of work item; works are drawn with this mean and spread, in ms at a worker of speed 1."""
+
+    name: str
+    share: float = 1.0
+    work_ms: float = 100.0
+    work_cv: float = 1.5
+    due_ms: float = 500.0
+    stretch: float = 2.0
+    expiry_ms: float = 8000.0
+    payoff: float = 1.0
+    effect: str = face.RERUNNABLE
+    group: str = "all"
+    window_ms: float = 0.0
+
+
+class Trouble(NamedTuple):
+    """What goes wrong, from when to when, at which part of the workers (or of the items), and how badly."""
+
+    kind: str
+    from_s: float
+    to_s: float
+    part: float = 0.2
+    size: float = 4.0
+
+
+class Day(NamedTuple):
+    """All of a day."""
+
+    seconds: float = 30.0
+    dispatchers: int = 3
+    workers: int = 10
+    zones: int = 2
+    cells: int = 2
+    slots: int = 4
+    queue: int = 24
+    kinds: int = 3
+    kind_cv: float = 0.4  # how far kinds of machine are apart in speed, and machines of one kind
+    speed_cv: float = 0.08
+    load: float = 0.6  # work offered for each unit of work that all workers can do
+    way_ms: float = 0.3
+    cross_ms: float = 6.0
+    jitter: float = 0.2
+    report_period_ms: float = 1000.0
+    report_delay_ms: float = 300.0
+    report_noise: float = 0.03
+    list_delay_ms: float = 1500.0
+    cold_from: float = 0.2
+    cold_s: float = 15.0
+    fall_multiple: float = 4.0
+    fall_ms: float = 1000.0
+    drain_grace_ms: float = 300.0
+    tells_start: bool = True
+    cancel: bool = True
+    second_copies: bool = True
+    most_hand_offs: int = 5
+    probes: bool = False
+    notes: bool = False
+    hints: bool = True
+    categories: tuple[Category, ...] = (Category("look"),)
+    troubles: tuple[Trouble, ...] = ()
+
+
+# What each trouble's size means.
+TROUBLES = {
+    "slow": "so many times slower",
+    "neighbour": "this part of the machine is taken, on and off",
+    "crash": "they die, and come back cold after so many seconds",
+    "release": "they are replaced one after the other by cold ones",
+    "late reports": "reports are so many ms later",
+    "late list": "the list is so many ms later",
+    "heavy": "this part of one category's items is so many times the work",
+}
+EFFECTS = (face.RERUNNABLE, face.TICKETED, face.EXCLUSIVE)
+# Beyond these nothing is of use on one machine.
+MOST = {"seconds": 3600.0, "dispatchers": 1000, "workers": 5000, "slots": 999, "queue": 99_999, "load": 99.0}
+LEAST = {"seconds": 1.0, "load": 0.0001} | dict.fromkeys(
+    ("dispatchers", "workers", "kinds", "zones", "cells", "slots"), 1
+)
+
+
+def read(path: str) -> Day:
+    """The description in a file."""
+    try:
+        with open(path, "rb") as file:
+            return day_of(tomllib.load(file))
+    except OSError as problem:
+        raise UnusableError(f"cannot read {path}: {problem.strerror}") from problem
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise UnusableError(f"{path} is no TOML: {problem}") from problem
+    except ValueError as problem:
+        raise UnusableError(f"{path}: {problem}") from problem
+
+
+def day_of(told: dict[str, Any]) -> Day:
+    """A description as a plain map; raises ValueError where it means nothing."""
+    told = dict(told)
+    categories = tuple([_made(Category, one, "category") for one in _tables(told, "category")])
+    troubles = tuple([_made(Trouble, one, "trouble") for one in _tables(told, "trouble")])
+    day = _made(Day, told, "the day")
+    day = day._replace(categories=categories or day.categories, troubles=troubles)
+    for name, most in MOST.items():
+        if getattr(day, name) > most:
+            raise ValueError(f"{name} is {getattr(day, name)}, more than {most:g}")
+    for name, least in LEAST.items():
+        if getattr(day, name) < least:
+            raise ValueError(f"{name} is {getattr(day, name)}, less than {least:g}")
+    names = [category.name for category in day.categories]
+    if len(set(names)) < len(names):
+        raise ValueError("two categories are of one name")
+    for category in day.categories:
+        if category.effect not in EFFECTS or category.group not in ("all", "zone", "cell"):
+            raise ValueError(f"{category.name}: effect {category.effect!r} in group {category.group!r}")
+        if category.work_ms <= 0.0 or category.due_ms <= 0.0 or category.expiry_ms <= category.due_ms:
+            raise ValueError(f"{category.name}: work and due time are over 0, and expiry is later")
+    for trouble in day.troubles:
+        if trouble.kind not in TROUBLES:
+            raise ValueError(f"trouble {trouble.kind!r} is none of {', '.join(TROUBLES)}")
+        if not 0.0 <= trouble.from_s <= trouble.to_s or not 0.0 <= trouble.part <= 1.0:
+            raise ValueError(f"trouble {trouble.kind}: its times or its part make no sense")
+    return day
+
+
+def _tables(told: dict[str, Any], name: str) -> list[Any]:
+    tables = told.pop(name, [])
+    if not isinstance(tables, list):
+        raise ValueError(f"{name} is no list of tables")
+    return tables
+
+
+def _made(kind: Any, told: Any, where: str) -> Any:
+    """A tuple of a kind from a table that has nothing else, each figure of its own sort."""
+    if not isinstance(told, dict):
+        raise ValueError(f"{where} is no table")
+    fields = {name: getattr(sort, "__name__", str(sort)) for name, sort in get_type_hints(kind).items()}
+    for name, value in told.items():
+        if name not in fields or name in ("categories", "troubles"):
+            raise ValueError(f"{where} has {name}, which means nothing")
+        wanted = {"float": (int, float), "int": int, "bool": bool, "str": str}[fields[name]]
+        if not isinstance(value, wanted) or (fields[name] != "bool" and isinstance(value, bool)):
+            raise ValueError(f"{where}: {name} is {value!r}, no {fields[name]}")
+        if isinstance(value, int | float) and not 0.0 <= value < 1e12:
+            raise ValueError(f"{where}: {name} is {value!r}")
+    missing = [name for name in fields if name not in told and name not in kind._field_defaults]
+    if missing:
+        raise ValueError(f"{where} has no {missing[0]}")
+    return kind(**{name: float(value) if fields[name] == "float" else value for name, value in told.items()})
+
+
+def settings_of(day: Day, me: int) -> dict[str, Any]:
+    """What a dispatcher of this day is told, as the module takes it."""
+    settings: dict[str, Any] = {
+        "balancers": float(day.dispatchers),
+        "me": float(me),
+        "zone": f"z{me % day.zones}",
+        "weightSource": "nominal",
+        "reporting.how": "answers",
+        "reporting.fields": ("rate", "queue", "x0"),
+        "familyInfo.tellsStart": day.tells_start,
+        "policyLimits.mostHandOffs": float(day.most_hand_offs),
+        "policyLimits.cancel": day.cancel,
+        "policyLimits.secondCopies": day.second_copies,
+        "policyLimits.probing": day.probes,
+        "policyLimits.peers": day.notes,
+        "policyLimits.connIdleMs": 10000.0,
+        "policyLimits.connectTimeoutMs": 250.0,
+        "rules.coldFrom": day.cold_from,
+        "rules.coldMs": day.cold_s * 1000.0,
+        "rules.fallMultiple": day.fall_multiple,
+        "rules.tipAfterMs": day.fall_ms,
+        "rules.drainGraceMs": day.drain_grace_ms,
+        "categories.count": float(len(day.categories)),
+    }
+    for number, category in enumerate(day.categories):
+        settings |= {
+            f"categories.{number}.{name}": value
+            for name, value in (
+                ("name", category.name),
+                ("effect", category.effect),
+                ("keyScope", category.group),
+                ("windowMs", category.window_ms),
+                ("dueTimeMs", category.due_ms),
+                ("aimStretch", category.stretch),
+                ("expiryMs", category.expiry_ms),
+                ("payoff", category.payoff),
+            )
+        }
+    return settings
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,241 @@
+"""The fleet model: the same day each time, rules that are seen to be checked, comparisons."""
+
+import json
+import tomllib
+
+import pytest
+
+from dunepulley import brain
+from dunepulley import interface as face
+from dunepulley.__main__ import main
+from dunepulley.model import compare
+from dunepulley.model.day import Category, Day, Trouble, day_of
+from dunepulley.model.worker import Job, Worker
+from dunepulley.model.world import BEGIN, Heap, World
+
+LOOK = Category("look", 0.6, 80.0, due_ms=300.0, expiry_ms=3000.0)
+STORE = Category("store", 0.2, 200.0, effect=face.TICKETED, group="cell", window_ms=2000.0, expiry_ms=4000.0)
+PAY = Category("pay", 0.2, 100.0, payoff=4.0, effect=face.EXCLUSIVE, expiry_ms=4000.0)
+ROUGH = Day(
+    seconds=8.0,
+    workers=6,
+    load=0.7,
+    cold_s=6.0,
+    list_delay_ms=400.0,
+    categories=(LOOK, STORE, PAY),
+    troubles=(
+        Trouble("slow", 1.0, 4.0, 0.2, 8.0),
+        Trouble("neighbour", 2.0, 6.0, 0.3, 0.6),
+        Trouble("crash", 2.0, 3.0, 0.2, 1.0),
+        Trouble("release", 3.0, 5.0, 0.4, 0.0),
+        Trouble("late reports", 1.0, 6.0, 0.0, 1500.0),
+        Trouble("late list", 4.0, 6.0, 0.0, 500.0),
+        Trouble("heavy", 2.0, 6.0, 0.02, 15.0),
+    ),
+)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_rough_day_keeps_the_rules_and_is_the_same_each_time(seed):
+    one, two = World(ROUGH, seed).run(), World(ROUGH, seed).run()
+    assert one == two and not one["broken"]
+    ends = one["in time"] + one["late"] + one["deferred"] + one["written off"]
+    assert ends == one["items"] > 300 and 0.5 < one["payoff"] < 1.0
+    assert World(ROUGH, seed + 10).run()["items"] != one["items"]
+
+
+def test_other_decisions_see_the_same_day():
+    """What is drawn does not follow what is decided, or pairs would not be pairs."""
+    worlds = [World(ROUGH, 4), World(ROUGH, 4, settings={"policyLimits.mostHandOffs": 1.0})]
+    runs = [world.run() for world in worlds]
+    assert runs[0]["hand-offs"] != runs[1]["hand-offs"]
+    works = [{wi: (item.came, item.work, item.home) for wi, item in world.items.items()} for world in worlds]
+    assert works[0] == works[1]
+
+
+# Each of the four rules is broken on purpose, so that its check is seen to fail.
+
+
+class Forgets(brain.Dispatcher):
+    """Leaves some items without an answer."""
+
+    def _answer(self, item):
+        if item.wi.endswith("7"):
+            self._close(item)
+        else:
+            super()._answer(item)
+
+
+class Repeats(brain.Dispatcher):
+    """Repeats whatever may have run, and drops the group of ticketed ones."""
+
+    def _may_repeat_at(self, item, i):
+        return True
+
+
+class SendsOn(brain.Dispatcher):
+    """Takes no notice of drains."""
+
+    def _entry(self, entry):
+        return super()._entry(entry._replace(state=face.READY))
+
+
+class Crowds(brain.Dispatcher):
+    """Takes cold workers for warm ones."""
+
+    def _cold_room(self, item, i):
+        return True
+
+
+@pytest.mark.parametrize(
+    ("build", "rule", "day"),
+    [
+        (Forgets, "lost", ROUGH._replace(load=2.0)),
+        (Repeats, "twice", ROUGH._replace(troubles=(Trouble("crash", 2.0, 3.0, 0.5, 1.0),))),
+        (SendsOn, "drains", ROUGH),
+        (Crowds, "cold", ROUGH._replace(load=1.5, cold_from=0.05, fall_multiple=1.0)),
+    ],
+)
+def test_each_rule_is_seen_to_be_checked(build, rule, day):
+    assert not World(day, 1).run()["broken"]
+    broken = World(day, 1, build).run()["broken"]
+    assert broken and {each.partition(":")[0] for each in broken} == {rule}
+
+
+# ---------------------------------------------------------------- workers
+
+
+def worker(slots=2, queue=2):
+    heap = Heap()
+    return heap, Worker(heap, "w", "z0", "box", "0", slots, queue, 1.0)
+
+
+def test_a_worker_runs_in_order_at_its_speed_and_turns_away_what_finds_no_place():
+    heap, one = worker()
+    told = []
+
+    def job(n):
+        return Job(f"j{n}", 100.0, 1.0, lambda what: told.append((heap.now - BEGIN, n, what)))
+
+    jobs = [job(n) for n in range(5)]
+    assert [one.offer(job) for job in jobs] == [True, True, True, True, False]
+    assert one.report() == {"rate": 0.0, "queue": 2.0, "x0": 0.0}
+    heap.run(BEGIN + 50.0)
+    one.set_factor("slow", 0.5)  # half of each is done; the rest takes twice as long
+    heap.run(BEGIN + 150.0)
+    one.set_factor("slow", 1.0)
+    heap.run(BEGIN + 400.0)
+    ends = [(at, n) for at, n, what in told if what == "finished"]
+    assert ends == [(150.0, 0), (150.0, 1), (250.0, 2), (250.0, 3)]
+    assert one.done_work == pytest.approx(400.0) and one.used == 0.0
+
+
+def test_what_is_dropped_or_lost_leaves_its_place():
+    heap, one = worker(slots=1)
+    told = []
+    jobs = [Job(f"j{n}", 100.0, 1.0, lambda what, n=n: told.append((n, what))) for n in range(3)]
+    for job in jobs:
+        one.offer(job)
+    assert one.drop(jobs[1], running=False) and not one.drop(jobs[0], running=False)
+    heap.run(BEGIN + 30.0)
+    assert one.drop(jobs[0], running=True) and one.drop(jobs[0], running=True)
+    heap.run(BEGIN + 40.0)
+    one.crash()
+    heap.run(BEGIN + 500.0)
+    assert told == [(0, "began"), (2, "began"), (2, "lost")]
+    assert not one.offer(Job("later", 1.0, 1.0, lambda what: None)) and one.done_work == pytest.approx(30.0)
+    one.start()
+    assert one.offer(Job("later", 1.0, 1.0, lambda what: None))
+
+
+# ---------------------------------------------------------------- comparisons
+
+
+def runs(payoffs, broken=()):
+    return [{"seed": n, "payoff": payoff, "broken": list(broken)} for n, payoff in enumerate(payoffs)]
+
+
+@pytest.mark.parametrize(
+    ("one", "two", "says"),
+    [
+        (runs([0.8, 0.9, 0.7, 0.8]), runs([0.85, 0.95, 0.74, 0.86]), "b is better"),
+        (runs([0.8, 0.9, 0.7, 0.8]), runs([0.7, 0.8, 0.6, 0.7]), "b is worse"),
+        (runs([0.8, 0.9, 0.7, 0.8]), runs([0.9, 0.8, 0.8, 0.7]), "no difference seen; one of 0.1"),
+        (runs([0.8] * 4), runs([0.8] * 4), "no difference seen; one of 0.0000"),
+        (runs([0.1, 0.1]), runs([0.9, 0.9]), "too few seeds"),
+        (runs([0.8] * 4), runs([0.9] * 4, ["lost: i1"]), "a rule is broken"),
+    ],
+)
+def test_what_a_comparison_says(one, two, says):
+    told = compare.compared(one, two)
+    assert told["says"].startswith(says) and compare.compared(one, two) == told
+
+
+def test_two_versions_and_two_settings_from_the_command_line(tmp_path, capsys):
+    day, settings = tmp_path / "day.toml", tmp_path / "b.toml"
+    day.write_text('seconds = 3.0\nworkers = 4\n[[category]]\nname = "look"\nwork_ms = 50.0\ndue_ms = 200.0\n')
+    settings.write_text("[policyLimits]\nmostHandOffs = 1\n")
+    version = tmp_path / "brain.py"
+    text = open(brain.__file__).read()
+    version.write_text(text.replace("PERIOD = 2000.0", "PERIOD = 500.0"))
+    words = [str(day), "--seeds", "1-4", "--processes", "1"]
+    assert main(["compare", *words]) == 0 and "no difference seen; one of 0.0000" in capsys.readouterr().out
+    assert main(["compare", *words, "--b", str(settings), "--b-module", str(version), "--json"]) == 0
+    told = json.loads(capsys.readouterr().out)
+    assert [run["seed"] for run in told["runs"][1]] == [1, 2, 3, 4] and told["runs"][0] != told["runs"][1]
+    assert main(["model", *words]) == 0
+    said = capsys.readouterr().out
+    assert len(said.splitlines()) == 5 and "payoff in time" in said
+
+
+@pytest.mark.parametrize(
+    ("text", "word"),
+    [
+        (None, "cannot read"),
+        ("x = ", "no TOML"),
+        ("fly = 1", "the day has fly"),
+        ("seconds = true", "seconds is True"),
+        ("workers = 2.5", "workers is 2.5"),
+        ("workers = 0", "less than 1"),
+        ("workers = 100000", "more than 5000"),
+        ("load = -1.0", "load is -1.0"),
+        ("[[category]]\nshare = 1.0", "category has no name"),
+        ('[[category]]\nname = "a"\neffect = "magic"', "effect 'magic'"),
+        ('[[category]]\nname = "a"\nexpiry_ms = 1.0', "expiry is later"),
+        ('[[category]]\nname = "a"\n[[category]]\nname = "a"', "of one name"),
+        ('[[trouble]]\nkind = "rain"\nfrom_s = 1.0\nto_s = 2.0', "trouble 'rain' is none of"),
+        ('[[trouble]]\nkind = "slow"\nfrom_s = 3.0\nto_s = 2.0', "make no sense"),
+        ("category = 5", "category is no list"),
+    ],
+)
+def test_a_description_that_means_nothing_is_one_line(tmp_path, capsys, text, word):
+    path = tmp_path / "day.toml"
+    if text is not None:
+        path.write_text(text)
+    assert main(["model", str(path), "--seeds", "1"]) == 2
+    said = capsys.readouterr().err
+    assert word in said and said.count("\n") == 1
+
+
+@pytest.mark.parametrize(
+    ("words", "code"),
+    [
+        (["--seeds", "x"], 2),
+        (["--seeds", "5-1"], 2),
+        (["--a", "missing.toml"], 2),
+        (["--b-module", "missing.py"], 2),
+    ],
+)
+def test_words_that_cannot_be_used(tmp_path, capsys, words, code):
+    path = tmp_path / "day.toml"
+    path.write_text("seconds = 1.0\n")
+    try:
+        assert main(["compare", str(path), *words]) == code
+    except SystemExit as ended:
+        assert ended.code == code
+    assert capsys.readouterr().err
+
+
+def test_the_example_can_be_read():
+    with open("deploy/day.example.toml", "rb") as file:
+        assert len(day_of(tomllib.load(file)).troubles) == 5
