--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -173,7 +173,8 @@
 
 def test_two_versions_and_two_settings_from_the_command_line(tmp_path, capsys):
     day, settings = tmp_path / "day.toml", tmp_path / "b.toml"
-    day.write_text('seconds = 3.0\nworkers = 4\n[[category]]\nname = "look"\nwork_ms = 50.0\ndue_ms = 200.0\n')
+    text = 'seconds = 3.0\nworkers = 4\n[[category]]\nname = "look"\nwork_ms = 50.0\ndue_ms = 200.0\n'
+    day.write_text(text)
     settings.write_text("[policyLimits]\nmostHandOffs = 1\n")
     version = tmp_path / "brain.py"
     text = open(brain.__file__).read()
