--- a/dunepulley/__main__.py
+++ b/dunepulley/__main__.py
@@ -29,7 +29,7 @@
     if chosen.command == "version":
         print(f"dunepulley {VERSION}")
         return 0
-    if chosen.command in ("model", "compare"):
+    if chosen.command in ("model", "compare", "load"):
         return model.run(chosen)
     if chosen.command == "ctl":
         return ctl.run(chosen)
--- a/dunepulley/model/compare.py
+++ b/dunepulley/model/compare.py
@@ -44,10 +44,10 @@
     return [found[at : at + len(seeds)] for at in range(0, len(found), len(seeds))]
 
 
-def interval(figures: list[float]) -> tuple[float, float, float]:
-    """The mean, and where it lies with 95% by a bootstrap over the seeds; the same for the same figures."""
+def interval(figures: list[float], count: int = 0) -> tuple[float, float, float]:
+    """The mean, and where it (or that of `count` of them) lies with 95%, by a bootstrap over the seeds."""
     some = np.asarray(figures, dtype=float)
-    draws = np.random.default_rng(0).integers(0, len(some), (RESAMPLES, len(some)))
+    draws = np.random.default_rng(0).integers(0, len(some), (RESAMPLES, count or len(some)))
     low, high = np.percentile(some[draws].mean(axis=1), [50.0 * (1 - LEVEL), 50.0 * (1 + LEVEL)])
     return float(some.mean()), float(low), float(high)
 
--- a/dunepulley/model/world.py
+++ b/dunepulley/model/world.py
@@ -118,6 +118,10 @@
         self.states = {name: face.READY for name in self.workers}
         self.list_late = self.reports_late = 0.0
         self.snapshots: dict[str, list[tuple[float, dict[str, float]]]] = {}
+        # Every item that is to come: its id, when, its category, its work, and whose it is.
+        self.planned: list[tuple[str, float, Category, float, int]] = []
+        # Every change of a worker's speed by another's doing: when, whose, its cause, and the factor.
+        self.speeds: list[tuple[float, str, str, float]] = []
         self.items: dict[str, Item] = {}
         self.counts = dict.fromkeys(("in time", "late", "deferred", "written off", "hand-offs", "events"), 0)
         self.asked = self.earned = 0.0
@@ -167,9 +171,10 @@
             spread = np.sqrt(np.log1p(category.work_cv**2))
             work = category.work_ms * float(np.exp(normals[number] * spread - 0.5 * spread**2))
             work *= self._heaviness(number, int(kinds[number]), float(moments[number]))
-            home = int(homes[number])
+            at, home = float(moments[number]), int(homes[number])
+            self.planned.append((f"i{number}", at, category, max(0.1, work), home))
             arrive = functools.partial(self._arrive, f"i{number}", category, max(0.1, work), home)
-            self.time.at(BEGIN + float(moments[number]), arrive)
+            self.time.at(BEGIN + at, arrive)
 
     def _heaviness(self, number: int, kind: int, at: float) -> float:
         for trouble in self.day.troubles:
@@ -388,16 +393,16 @@
         at = self.time.at
         if trouble.kind == "slow":
             for name in names:
-                at(first, functools.partial(self.workers[name].set_factor, "slow", 1.0 / trouble.size))
-                at(last, functools.partial(self.workers[name].set_factor, "slow", 1.0))
+                self._speed(first, name, "slow", 1.0 / trouble.size)
+                self._speed(last, name, "slow", 1.0)
         elif trouble.kind == "neighbour":
             for name in names:
                 moment, on = first, True
                 while moment < last:
                     factor = 1.0 - min(0.95, trouble.size) if on else 1.0
-                    at(moment, functools.partial(self.workers[name].set_factor, "neighbour", factor))
+                    self._speed(moment, name, "neighbour", factor)
                     moment, on = moment + float(self.draw["troubles"].exponential(ON_OFF_MS)), not on
-                at(last, functools.partial(self.workers[name].set_factor, "neighbour", 1.0))
+                self._speed(last, name, "neighbour", 1.0)
         elif trouble.kind == "crash":
             for name in names:
                 at(first, functools.partial(self._crash, name))
@@ -415,6 +420,10 @@
             at(first, lambda: setattr(self, name, trouble.size))
             at(last, lambda: setattr(self, name, 0.0))
 
+    def _speed(self, at: float, name: str, cause: str, factor: float) -> None:
+        self.speeds.append((at - BEGIN, name, cause, factor))
+        self.time.at(at, functools.partial(self.workers[name].set_factor, cause, factor))
+
     def _crash(self, name: str) -> None:
         self.workers[name].crash()
         self._change(name, face.LEFT)
--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -22,6 +22,7 @@
 from dunepulley.net.counters import Counters
 from dunepulley.net.figures import outcome
 from dunepulley.net.listener import Listener
+from dunepulley.net.recorder import Recorder
 
 BODY_LIMIT = 65536
 # A usual head has a few hundred bytes; one without end must not fill the memory.
@@ -399,6 +400,7 @@
         # workers and discovery.
         self.most = min(sockets // 3, int(settings.get("policyLimits.openCap", sockets)))
         self.waiting: dict[str, Job] = {}
+        self.recorder: Recorder | None = None
         self.none_waiting = asyncio.Event()
         self.leaving, self.stopped = SERVING, False
         self.timer: asyncio.TimerHandle | None = None
@@ -587,6 +589,9 @@
         wi = job.arrived.wi
         self.waiting[wi] = job
         self.counters["taken"] += 1
+        if self.recorder is not None:
+            told = job.arrived
+            self.recorder.came(job.came, told.category, told.budget, told.hint, len(job.body))
         self.core.put(Taken(job))
         try:
             async with asyncio.timeout((job.arrived.budget + ON_THE_WAY_MS + BACKSTOP_MS) / 1000.0):
--- a/dunepulley/net/config.py
+++ b/dunepulley/net/config.py
@@ -10,6 +10,7 @@
 from dunepulley import interface as face
 from dunepulley import words
 from dunepulley.drains import Drains, drains_of
+from dunepulley.load.trace import MOST
 
 
 def _is_figure(value: object) -> bool:
@@ -60,6 +61,7 @@
     by_key: bool = False
     console: tuple[str, int] | None = None
     memory_mb: float = 192.0
+    trace: tuple[str, int] | None = None  # where to write down what comes in, and how many items of it
     drains: Drains = Drains()
     scratch: str = ""  # the folder where a successor finds this process; none without it
 
@@ -114,6 +116,7 @@
             by_key,
             address_of(console) if console else None,
             float(limits.get("memory_mb", 192.0)),
+            trace_of(told.get("trace")),
             drains_in(told.get("drains")),
             environment.get("TMPDIR", ""),
         )
@@ -129,6 +132,16 @@
     return read({"ROUTER_NAME": start.name, "ROUTER_LISTEN": f"{host}:{port}"}, start.path)
 
 
+def trace_of(told: Any) -> tuple[str, int] | None:
+    """Where a trace goes, and how many items it may hold."""
+    if told is None:
+        return None
+    path, most = (told.get("path"), told.get("most")) if isinstance(told, dict) else (None, None)
+    if not isinstance(path, str) or isinstance(most, bool) or not isinstance(most, int) or most < 1:
+        raise ValueError(f"trace is {told!r}, no path with the most items it may hold")
+    return path, min(most, MOST)
+
+
 def drains_in(path: Any) -> Drains:
     """The drains that the host's agent keeps in a file; none where there is no file yet."""
     if path is None:
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -23,6 +23,7 @@
 from dunepulley.net.counters import Counters
 from dunepulley.net.discovery import Discovery
 from dunepulley.net.peers import Peers
+from dunepulley.net.recorder import Recorder
 from dunepulley.net.workers import Workers
 
 # The front goes on sending connections for 0.4 s after SIGTERM, for 0.3 s after our health says no.
@@ -89,6 +90,12 @@
         self.task.add_done_callback(self._task_ended)
         self._watch(self.start_with.known.revision)
         host, port = self.start_with.listen
+        if self.start_with.trace is not None:
+            path, most = self.start_with.trace
+            try:
+                self.clients.recorder = Recorder(path, most, self.start_with.name)
+            except OSError as problem:
+                raise config.UnusableError(f"cannot write {path}: {problem.strerror}") from problem
         try:
             if self.inherited is not None:
                 self.port = self.clients.listener.adopt(self.inherited.listening)
@@ -285,6 +292,8 @@
         await self.handover.close()
         await self.clients.close()
         self.console.close()
+        if self.clients.recorder is not None:
+            self.clients.recorder.close()
         self.peers.close()
         tasks = [task for task in (self.task, self.watch, self.finishing) if task is not None]
         for task in tasks:
