--- a/bench/drain_fleet.py
+++ b/bench/drain_fleet.py
@@ -24,9 +24,10 @@
 
 import aiohttp
 
-from bench.standin import Clients, Discovery, Workers, free_ports
+from bench.standin import Clients, Workers
 from dunepulley.agent import wire
 from dunepulley.agent.instance import SilentError, call
+from dunepulley.load.local import discovery, free_ports
 
 GRACE_MS = 300.0
 # What was sent before a process was killed may be read a moment later; the next one takes longer to start.
@@ -142,10 +143,10 @@
     zones = [ZONES[number % 2] for number in range(chosen.workers)]
     async with (
         Workers(zones, chosen.runs_ms, addresses) as workers,
-        Discovery(workers.members) as discovery,
+        discovery(workers.members) as listed_at,
         aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session,
     ):
-        fleet = Fleet(folder, chosen.instances, discovery.address)
+        fleet = Fleet(folder, chosen.instances, listed_at)
         addresses |= fleet.listen
         fleet.write(workers.members)
         clients = [Clients(name, fleet.listen[name], chosen.rate, session) for name in fleet.names]
--- a/bench/standin.py
+++ b/bench/standin.py
@@ -1,4 +1,4 @@
-"""Stand-ins for what dispatchers speak with: a list of workers, workers, and clients; one process for all.
+"""Stand-ins for what dispatchers speak with: workers and clients, one process for all.
 
 They speak the protocol that the dispatchers speak, no more of it than a measurement needs.
 """
@@ -15,17 +15,6 @@
 from aiohttp import web
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports that nobody listens at now."""
-    import socket
-
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
-
-
 class Sent(NamedTuple):
     """A hand-off as a worker saw it begin."""
 
@@ -102,35 +91,6 @@
             await asyncio.sleep(0.2)
 
 
-class Discovery:
-    """A list of workers that stays as it is; watches stay open."""
-
-    def __init__(self, members: list[dict[str, Any]]) -> None:
-        self.list = {"revision": 1, "complete": True, "members": members}
-
-    async def __aenter__(self) -> Discovery:
-        server = web.Server(self._watch, access_log=None)
-        self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
-        await self.runner.setup()
-        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
-        self.address = f"127.0.0.1:{self.runner.addresses[0][1]}"
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        await self.runner.cleanup()
-
-    async def _watch(self, request: web.BaseRequest) -> web.StreamResponse:
-        answer = web.StreamResponse()
-        await answer.prepare(request)
-        line = json.dumps(self.list).encode() + b"\n"
-        with contextlib.suppress(ConnectionError):
-            while True:
-                await answer.write(line)
-                line = b"\n"
-                await asyncio.sleep(2.0)
-        return answer
-
-
 class Clients:
     """Work items for one instance at a steady rate, whatever becomes of those before (open loop)."""
 
--- a/dunepulley/load/play.py
+++ b/dunepulley/load/play.py
@@ -8,7 +8,6 @@
 import functools
 import json
 import os
-import socket
 import sys
 import tempfile
 import time
@@ -20,6 +19,7 @@
 from aiohttp import web
 
 from dunepulley.load import trace
+from dunepulley.load.local import discovery, free_ports
 from dunepulley.model import compare
 from dunepulley.model import day as days
 from dunepulley.model.worker import Job, Worker
@@ -220,17 +220,14 @@
     """One run; what clients saw."""
     world = World(day, seed)
     due = due_of(day, world) if came is None else due_of_trace(day, came, seed)
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(day.dispatchers)]
-    listen = [f"127.0.0.1:{one.getsockname()[1]}" for one in held]
-    for one in held:
-        one.close()
+    listen = [f"127.0.0.1:{port}" for port in free_ports(day.dispatchers)]
     with tempfile.TemporaryDirectory() as folder:
-        async with Workers(day, world, due, listen) as workers, _discovery(workers.members) as discovery:
+        async with Workers(day, world, due, listen) as workers, discovery(workers.members) as agent:
             processes = []
             try:
                 for me in range(day.dispatchers):
                     known = {"revision": 1, "complete": True, "members": workers.members}
-                    addresses = {"listen": listen[me], "discovery": discovery}
+                    addresses = {"listen": listen[me], "discovery": agent}
                     told = told_of(day, seed, me, settings, known=known, **addresses)
                     path = Path(folder) / f"n{me}.json"
                     path.write_text(json.dumps(told))
@@ -248,28 +245,6 @@
                 await asyncio.gather(*[process.wait() for process in processes])
 
 
-@contextlib.asynccontextmanager
-async def _discovery(members: list[dict[str, Any]]) -> Any:
-    async def watch(request: web.BaseRequest) -> web.StreamResponse:
-        answer = web.StreamResponse()
-        await answer.prepare(request)
-        told = json.dumps({"revision": 1, "complete": True, "members": members}).encode() + b"\n"
-        with contextlib.suppress(ConnectionError):
-            while True:
-                await answer.write(told)
-                told = b"\n"
-                await asyncio.sleep(2.0)
-        return answer
-
-    runner = web.ServerRunner(web.Server(watch, access_log=None), shutdown_timeout=0.1)
-    await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
-    try:
-        yield f"127.0.0.1:{runner.addresses[0][1]}"
-    finally:
-        await runner.cleanup()
-
-
 async def _send(
     day: days.Day, world: World, due: dict[str, Due], listen: list[str], workers: Workers
 ) -> dict[str, Any]:
