After a reading: one check of addresses and of numbers, one way to ask the module's task

address_of stood in net.config and again in the agent's wire, 'a number and no bool' in seven places, the future that a message ends with in four calls of Service, the spread of lognormal figures in three, a stand-in's server, member and callback in two or three. Gone: the time of the last bytes beside the same one in Front.halves, World's unused rate, a nested context manager, two ways to close a link in handover.ask. Behaviour as before, but that a pair of learned running times must be a pair.

--- a/bench/standin.py
+++ b/bench/standin.py
@@ -6,14 +6,17 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import json
 import time
 from typing import Any, NamedTuple
 
 import aiohttp
 from aiohttp import web
 
+from dunepulley.load.local import call_back, member, serve
+
+# A dispatcher that is killed and started again is back after a few of these.
+PAUSE_S = 0.2
+
 
 class Sent(NamedTuple):
     """A hand-off as a worker saw it begin."""
@@ -35,7 +38,7 @@
         self.runs_ms = runs_ms
         self.addresses = addresses
         self.sent: list[Sent] = []
-        self.sites: list[web.ServerRunner] = []
+        self.runners: list[web.ServerRunner] = []
         self.members: list[dict[str, Any]] = []
         self.tasks: set[asyncio.Task] = set()
 
@@ -43,23 +46,16 @@
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         for number, zone in enumerate(self.zones):
             name = f"w{number}"
-            runner = web.ServerRunner(web.Server(self._taker(name), access_log=None))
-            await runner.setup()
-            site = web.TCPSite(runner, "127.0.0.1", 0)
-            await site.start()
-            self.sites.append(runner)
-            port = runner.addresses[0][1]
-            self.members.append(
-                {"id": name, "host_port": f"127.0.0.1:{port}", "locality": zone, "flavor": "box", "cell": 0}
-                | {"phase": "Ready", "size": 1.0, "up_since_ms": 0}
-            )
+            runner, address = await serve(self._taker(name))
+            self.runners.append(runner)
+            self.members.append(member(name, address, zone, "box", "0"))
         return self
 
     async def __aexit__(self, *_: object) -> None:
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        for runner in self.sites:
+        for runner in self.runners:
             await runner.cleanup()
         await self.session.close()
 
@@ -81,14 +77,8 @@
 
     async def _run(self, name: str, instance: str, wi: str) -> None:
         await asyncio.sleep(self.runs_ms / 1000.0)
-        body = json.dumps({"id": wi, "from": name, "state": "done", "result": "made"}).encode()
-        for _ in range(10):
-            with contextlib.suppress(aiohttp.ClientError, OSError):
-                url = f"http://{self.addresses[instance]}/v1/job-events"
-                async with self.session.post(url, data=body) as told:
-                    if told.status in (200, 204):
-                        return
-            await asyncio.sleep(0.2)
+        told = {"id": wi, "from": name, "state": "done", "result": "made"}
+        await call_back(self.session, self.addresses[instance], told, PAUSE_S)
 
 
 class Clients:
--- a/dunepulley/agent/agent.py
+++ b/dunepulley/agent/agent.py
@@ -19,6 +19,7 @@
 from dunepulley.agent import config, store, wire
 from dunepulley.agent.instance import Dispatcher, SilentError
 from dunepulley.net import log
+from dunepulley.words import is_number
 
 # So often every dispatcher is asked whether it goes by the set, if nothing has changed.
 LOOK_S = 1.0
@@ -148,7 +149,7 @@
     @staticmethod
     def _seconds(what: dict[str, Any], name: str, usual: float, most: float) -> float:
         value = what.get(name, usual)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not 0.0 < value <= most:
+        if not is_number(value) or not 0.0 < value <= most:
             raise RequestError(f"{name} is no time of at most {most:g} s")
         return float(value)
 
--- a/dunepulley/agent/config.py
+++ b/dunepulley/agent/config.py
@@ -6,7 +6,8 @@
 import tomllib
 from typing import Any, NamedTuple
 
-from dunepulley.agent.wire import address_of
+from dunepulley import words
+from dunepulley.net.config import address_of
 
 KNOWN = {"listen", "state", "answer_s", "dispatcher"}
 KNOWN_OF_ONE = {"name", "console", "start"}
@@ -53,7 +54,7 @@
     state, answer_s = told.get("state"), told.get("answer_s", 2.0)
     if not isinstance(state, str) or not state:
         raise ValueError("state is no path")
-    if isinstance(answer_s, bool) or not isinstance(answer_s, int | float) or not 0.0 < answer_s <= 60.0:
+    if not words.is_number(answer_s) or not 0.0 < answer_s <= 60.0:
         raise ValueError(f"answer_s is {answer_s!r}, no time of at most 60 s")
     entries = told.get("dispatcher")
     if not isinstance(entries, list) or not entries:
--- a/dunepulley/agent/ctl.py
+++ b/dunepulley/agent/ctl.py
@@ -14,6 +14,7 @@
 import orjson
 
 from dunepulley.agent import wire
+from dunepulley.net.config import address_of
 
 USUAL = "127.0.0.1:19900"
 # Exit codes; of several the first in this order counts.
@@ -227,7 +228,7 @@
     agents = chosen.agent or os.environ.get("DUNEPULLEY_AGENTS", USUAL).split(",")
     try:
         for agent in agents:
-            wire.address_of(agent)
+            address_of(agent)
     except ValueError as problem:
         print(f"dunepulley: {problem}", file=sys.stderr)
         return UNUSABLE
--- a/dunepulley/agent/instance.py
+++ b/dunepulley/agent/instance.py
@@ -13,10 +13,10 @@
 
 from dunepulley import drains
 from dunepulley.agent.config import Instance
-from dunepulley.agent.wire import address_of
+from dunepulley.drains import NEVER
+from dunepulley.net.config import address_of
 
 LIMIT = 4 * 1024 * 1024
-NEVER = float("inf")
 
 
 class SilentError(Exception):
--- a/dunepulley/agent/wire.py
+++ b/dunepulley/agent/wire.py
@@ -8,6 +8,8 @@
 
 import orjson
 
+from dunepulley.net.config import address_of
+
 VERSION = 1
 # An answer that shows a thousand workers at twenty dispatchers has about as much.
 LIMIT = 4 * 1024 * 1024
@@ -17,14 +19,6 @@
     """No answer that can be used; the text says why in one line."""
 
 
-def address_of(text: Any) -> tuple[str, int]:
-    """Host and port of `host:port`; raises ValueError on anything else."""
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} is no host:port")
-    return host.strip("[]"), int(port)
-
-
 def line_of(what: dict[str, Any]) -> bytes:
     """A request or an answer as it goes over the wire."""
     return orjson.dumps({"v": VERSION} | what) + b"\n"
--- a/dunepulley/drains.py
+++ b/dunepulley/drains.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from dunepulley import interface as face
+from dunepulley.words import is_number
 
 NEVER = float("inf")
 WHATS = ("worker", "zone", "kind")
@@ -175,7 +176,7 @@
 
 
 def _number(value: Any, what: str) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0.0 <= value < 1e15:
+    if not is_number(value) or not 0.0 <= value < 1e15:
         raise ValueError(f"{what} is {value!r}, no time or number")
     return float(value)
 
--- a/dunepulley/learned.py
+++ b/dunepulley/learned.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from typing import Any
 
 from dunepulley.brain import Category, Dispatcher, listed
+from dunepulley.words import is_number
 
 # Of workers: what was reported and when, how they run, and whether they are sick. Not turns, connections and
 # what goes with hand-offs that are out, which are each process's own.
@@ -77,7 +77,8 @@
     module.kind_slots |= _numbers(told, "kinds", "kind_slots")
     module.kind_size |= _numbers(told, "kinds", "kind_size")
     for kind, runs in _map(told, "kinds", "kind_runs").items():
-        if kind in module.kind_runs and isinstance(runs, list) and len(list(_floats(runs))) == 2:
+        both = isinstance(runs, list) and len(runs) == 2 and all([_is_finite(run) for run in runs])
+        if kind in module.kind_runs and both:
             module.kind_runs[kind][:] = runs
     for i, kind in enumerate(module.kind_of):
         module.slots[i] = module.kind_slots.get(kind, module.slots[i])
@@ -100,10 +101,8 @@
 
 def _numbers(told: Any, *path: str) -> dict[str, float]:
     """The finite numbers of a map somewhere in what was told."""
-    return {name: float(value) for name, value in _map(told, *path).items() if list(_floats([value]))}
+    return {name: float(value) for name, value in _map(told, *path).items() if _is_finite(value)}
 
 
-def _floats(values: list[Any]) -> Iterator[float]:
-    for value in values:
-        if isinstance(value, int | float) and not isinstance(value, bool) and abs(value) < 1e300:
-            yield value
+def _is_finite(value: Any) -> bool:
+    return is_number(value) and abs(value) < 1e300
--- a/dunepulley/load/play.py
+++ b/dunepulley/load/play.py
@@ -19,11 +19,11 @@
 from aiohttp import web
 
 from dunepulley.load import trace
-from dunepulley.load.local import discovery, free_ports
+from dunepulley.load.local import call_back, discovery, free_ports, member, serve
 from dunepulley.model import compare
 from dunepulley.model import day as days
 from dunepulley.model.worker import Job, Worker
-from dunepulley.model.world import World
+from dunepulley.model.world import World, spread_out
 
 # What of a day can be played with sockets; the rest needs a list that changes.
 PLAYED = ("slow", "neighbour", "heavy", "late reports")
@@ -31,6 +31,8 @@
 MOST_S = 600.0
 # Of a dispatcher's process; the day says nothing of it.
 SOCKETS = 1024
+# Before a callback that was not answered is sent again.
+PAUSE_S = 0.05
 
 
 class Due(NamedTuple):
@@ -81,16 +83,9 @@
     async def __aenter__(self) -> Workers:
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         for name, worker in self.workers.items():
-            serve = functools.partial(self._serve, worker)
-            runner = web.ServerRunner(web.Server(serve, access_log=None), shutdown_timeout=0.1)
-            await runner.setup()
-            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            runner, address = await serve(functools.partial(self._serve, worker))
             self.runners.append(runner)
-            address = f"127.0.0.1:{runner.addresses[0][1]}"
-            self.members.append(
-                {"id": name, "host_port": address, "locality": worker.zone, "flavor": worker.kind}
-                | {"cell": worker.cell, "phase": "Ready", "size": 1.0, "up_since_ms": 0}
-            )
+            self.members.append(member(name, address, worker.zone, worker.kind, worker.cell))
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -131,19 +126,10 @@
             told |= {"result": "made", "load": self._report(worker)}
         if what != "began":
             self.jobs.pop((worker.name, wi), None)
-        task = asyncio.create_task(self._call(home, json.dumps(told).encode()))
+        task = asyncio.create_task(call_back(self.session, self.listen[home], told, PAUSE_S))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _call(self, home: int, body: bytes) -> None:
-        for _ in range(10):
-            with contextlib.suppress(aiohttp.ClientError, OSError):
-                url = f"http://{self.listen[home]}/v1/job-events"
-                async with self.session.post(url, data=body) as told:
-                    if told.status in (200, 204):
-                        return
-            await asyncio.sleep(0.05)
-
     def _report(self, worker: Worker) -> dict[str, float]:
         """As in the model: refreshed now and then, some way behind."""
         now, shots = self.time.now, self.shots[worker.name]
@@ -181,8 +167,7 @@
         category = known.get(each.category)
         if category is None:
             raise trace.TraceError(f"line {number + 2}: the day has no category {each.category}")
-        spread = float(np.sqrt(np.log1p(category.work_cv**2)))
-        drawn = category.work_ms * float(np.exp(draw.normal(-0.5 * spread**2, spread)))
+        drawn = category.work_ms * float(spread_out(draw.normal(), category.work_cv))
         home = int(draw.integers(0, day.dispatchers))
         work = each.hint or drawn
         due[f"i{number}"] = Due(each.at, each.category, each.budget, each.hint, each.size, work, home)
--- a/dunepulley/load/trace.py
+++ b/dunepulley/load/trace.py
@@ -6,6 +6,8 @@
 
 import orjson
 
+from dunepulley.words import is_number
+
 VERSION = 1
 MOST = 1_000_000
 LINE_LIMIT = 1000
@@ -81,6 +83,6 @@
         raise ValueError(f"line {number}: category is no name")
     for name, most in (("at", LONGEST_MS), ("budget", LONGEST_MS), ("hint", LONGEST_MS), ("size", 65536.0)):
         value = told[name]
-        if isinstance(value, bool) or not isinstance(value, int | float) or not 0.0 <= value <= most:
+        if not is_number(value) or not 0.0 <= value <= most:
             raise ValueError(f"line {number}: {name} is {value!r}")
     return Came(float(told["at"]), category, float(told["budget"]), float(told["hint"]), int(told["size"]))
--- a/dunepulley/model/world.py
+++ b/dunepulley/model/world.py
@@ -64,6 +64,12 @@
         self.now = until
 
 
+def spread_out(normals: Any, cv: float) -> Any:
+    """Lognormal figures of mean 1 and this spread, from normal ones."""
+    spread = np.sqrt(np.log1p(cv**2))
+    return np.exp(normals * spread - 0.5 * spread**2)
+
+
 class Item:
     """A work item, from its arrival to its final answer."""
 
@@ -102,7 +108,6 @@
         seed: int,
         build: type[Dispatcher] = Dispatcher,
         settings: dict[str, Any] | None = None,
-        rate: float | None = None,
     ) -> None:
         self.day = day
         self.time = Heap()
@@ -114,7 +119,16 @@
         self.workers: dict[str, Worker] = {}
         of_kinds = self._speeds(day.kinds, day.kind_cv)
         for number, speed in enumerate(self._speeds(day.workers, day.speed_cv)):
-            self._worker(f"w{number}", number, float(speed * of_kinds[number % day.kinds]))
+            self.workers[f"w{number}"] = Worker(
+                self.time,
+                f"w{number}",
+                f"z{number % day.zones}",
+                f"k{number % day.kinds}",
+                str(number % day.cells),
+                day.slots,
+                day.queue,
+                float(speed * of_kinds[number % day.kinds]),
+            )
         self.states = {name: face.READY for name in self.workers}
         self.list_late = self.reports_late = 0.0
         self.snapshots: dict[str, list[tuple[float, dict[str, float]]]] = {}
@@ -134,32 +148,23 @@
             self.alarms.append(None)
         for me in range(day.dispatchers):
             self._tell_list(me, face.FULL_LIST, list(self.workers))
-        self._traffic(rate)
+        self._traffic()
         for trouble in day.troubles:
             self._trouble(trouble)
 
     def _speeds(self, count: int, cv: float) -> Any:
-        spread = np.sqrt(np.log1p(cv**2))
-        return np.exp(self.draw["speeds"].normal(-0.5 * spread**2, spread, count))
-
-    def _worker(self, name: str, number: int, speed: float) -> Worker:
-        day = self.day
-        zone, cell = f"z{number % day.zones}", str(number % day.cells)
-        kind = f"k{number % day.kinds}"
-        worker = Worker(self.time, name, zone, kind, cell, day.slots, day.queue, speed)
-        self.workers[name] = worker
-        return worker
+        return spread_out(self.draw["speeds"].normal(0.0, 1.0, count), cv)
 
     # ---------------------------------------------------------------- traffic
 
-    def _traffic(self, rate: float | None) -> None:
+    def _traffic(self) -> None:
         """Draw every item of the day, whatever will be decided."""
         day = self.day
         shares = np.array([category.share for category in day.categories])
         shares = shares / shares.sum()
         mean = float(sum(shares * np.array([category.work_ms for category in day.categories])))
         able = sum([worker.speed for worker in self.workers.values()]) * day.slots
-        rate = rate if rate is not None else 1000.0 * day.load * able / mean
+        rate = 1000.0 * day.load * able / mean
         count = int(self.draw["arrivals"].poisson(rate * day.seconds))
         moments = np.sort(self.draw["arrivals"].uniform(0.0, day.seconds * 1000.0, count))
         homes = self.draw["arrivals"].integers(0, day.dispatchers, count)
@@ -168,13 +173,11 @@
         self.heavies = self.draw["heavy"].uniform(0.0, 1.0, count)
         for number in range(count):
             category = day.categories[int(kinds[number])]
-            spread = np.sqrt(np.log1p(category.work_cv**2))
-            work = category.work_ms * float(np.exp(normals[number] * spread - 0.5 * spread**2))
-            work *= self._heaviness(number, int(kinds[number]), float(moments[number]))
             at, home = float(moments[number]), int(homes[number])
-            self.planned.append((f"i{number}", at, category, max(0.1, work), home))
-            arrive = functools.partial(self._arrive, f"i{number}", category, max(0.1, work), home)
-            self.time.at(BEGIN + at, arrive)
+            work = category.work_ms * float(spread_out(normals[number], category.work_cv))
+            work = max(0.1, work * self._heaviness(number, int(kinds[number]), at))
+            self.planned.append((f"i{number}", at, category, work, home))
+            self.time.at(BEGIN + at, functools.partial(self._arrive, f"i{number}", category, work, home))
 
     def _heaviness(self, number: int, kind: int, at: float) -> float:
         for trouble in self.day.troubles:
@@ -467,6 +470,7 @@
         }
 
 
+@functools.cache
 def module_of(path: str) -> type[Dispatcher]:
     """The `Dispatcher` of another version of the decision module, from its file."""
     name = f"dunepulley_brain_{abs(hash(path))}"
--- a/dunepulley/net/callbacks.py
+++ b/dunepulley/net/callbacks.py
@@ -37,7 +37,7 @@
     if state == "done" and not isinstance(result, str):
         raise MalformedError(400, "the result is no text")
     share = told.get("share")
-    if isinstance(share, bool) or not isinstance(share, int | float):
+    if not words.is_number(share):
         share = 0.0
     load = told.get("load")
     report = words.report_of(load) if isinstance(load, dict) else None
--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -141,7 +141,7 @@
     """
 
     __slots__ = ("front", "transport", "handler", "raw", "head", "chunks", "length")
-    __slots__ += ("busy", "known", "worker", "begun", "heard", "counted", "timer")
+    __slots__ += ("busy", "known", "worker", "begun", "counted", "timer")
 
     def __init__(self, front: Front) -> None:
         self.front = front
@@ -154,8 +154,7 @@
         self.busy = False
         self.known = False  # whether it has brought a work item or a callback
         self.worker = False  # whether it has brought a callback
-        # When the connection or the request in coming began, and when the last of it came.
-        self.begun = self.heard = 0.0
+        self.begun = 0.0  # when the connection, or the request that is coming, began
         self.counted = 0  # the bytes of it that `Front` counts
         self.timer: asyncio.TimerHandle | None = None
 
@@ -203,7 +202,6 @@
         if whole:
             self._pass_on()
         else:
-            self.heard = self.front.loop.time()
             self.front.pauses(self)
 
     def _is_whole(self, new: int) -> bool:
@@ -272,7 +270,7 @@
     def _late(self) -> None:
         self.timer = None
         now = self.front.loop.time()
-        still = self.heard + PAUSE_S - now
+        still = self.front.halves.get(self, 0.0) + PAUSE_S - now
         if self.raw and still > 0.0 and now < self.begun + SLOW_S:
             self.timer = self.front.loop.call_later(still, self._late)
         elif self.raw:
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -13,7 +13,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple, Protocol
 
 from dunepulley import interface as face
@@ -225,6 +225,12 @@
         """Leave a message for the module's task."""
         self.queue.put_nowait(message)
 
+    async def ask(self, kind: Callable[..., Any], *more: Any) -> Any:
+        """Leave a message that ends with the future of its answer, and wait for that."""
+        answer = asyncio.get_running_loop().create_future()
+        self.put(kind(*more, answer))
+        return await answer
+
     def can_serve(self) -> bool:
         """Whether a worker is known that takes work."""
         return bool(self.ready)
--- a/dunepulley/net/handover.py
+++ b/dunepulley/net/handover.py
@@ -13,7 +13,7 @@
 import socket
 import stat
 import struct
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Iterator
 from typing import Any, NamedTuple, Protocol
 
 import orjson
@@ -58,18 +58,17 @@
     return os.path.join(folder, f"dunepulley-{host.replace(':', '_')}-{port}.sock") if folder else ""
 
 
-def _short(path: str) -> contextlib.AbstractContextManager[str]:
+@contextlib.contextmanager
+def _short(path: str) -> Iterator[str]:
     """A name for a path that fits a socket's address, however deep the folder is."""
-
-    @contextlib.contextmanager
-    def named():
-        folder = os.open(os.path.dirname(path), os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            yield f"/proc/self/fd/{folder}/{os.path.basename(path)}"
-        finally:
-            os.close(folder)
-
-    return named() if len(path.encode()) > 100 else contextlib.nullcontext(path)
+    if len(path.encode()) <= 100:
+        yield path
+        return
+    folder = os.open(os.path.dirname(path), os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        yield f"/proc/self/fd/{folder}/{os.path.basename(path)}"
+    finally:
+        os.close(folder)
 
 
 def _ours(link: socket.socket) -> bool:
@@ -88,7 +87,7 @@
         return None
     link = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     link.settimeout(PATIENCE_S)
-    raw, passed = b"", []
+    raw, passed, inherited = b"", [], None
     try:
         with _short(path) as short:
             link.connect(short)
@@ -108,19 +107,17 @@
             raise UnableError(f"the process that serves does not hand over: {told['refused']}")
         if len(passed) != 1:
             raise UnableError("the process that serves passed no socket on")
-        return Inherited(socket.socket(fileno=passed.pop()), link, told)
+        inherited = Inherited(socket.socket(fileno=passed.pop()), link, told)
+        return inherited
     except (FileNotFoundError, ConnectionRefusedError, NotADirectoryError):
-        link.close()
         return None
     except TimeoutError as problem:
-        link.close()
         raise UnableError("the process that serves does not answer") from problem
-    except (OSError, ValueError, UnableError) as problem:
-        link.close()
-        if isinstance(problem, UnableError):
-            raise
+    except (OSError, ValueError) as problem:
         raise UnableError(f"{path}: {problem}") from problem
     finally:
+        if inherited is None:
+            link.close()
         for number in passed:
             os.close(number)
 
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -108,7 +108,8 @@
         except OSError as problem:
             raise config.UnusableError(f"cannot listen at {host}:{port}: {problem.strerror}") from problem
         if self.inherited is not None:
-            self._share(False, HALF)
+            self.core.put(face.Cold(False))
+            self._share(HALF)
             await self.handover.follow(self.inherited)
             # Until there is something to serve with, the process before this one goes on.
             await self.core.usable.wait()
@@ -178,11 +179,10 @@
         self.clients.listener.rest()
         self.peers.close()
         self.clients.leave(HANDED, HANDED_S)
-        self._share(False, HALF)
+        self.core.put(face.Cold(False))
+        self._share(HALF)
         self.finishing = asyncio.create_task(self._finish_handed())
-        summed = Summed(asyncio.get_running_loop().create_future())
-        self.core.put(summed)
-        return await summed.answer
+        return await self.core.ask(Summed)
 
     def take_back(self) -> None:
         """The successor has ended: serve again, unless this process is ending, too."""
@@ -191,22 +191,21 @@
         if not self.clients.join(after=HANDED):
             return
         log.say("handover", "the successor has ended; this process serves again")
-        self._share(True, 1.0)
+        self.core.put(face.Cold(True))
+        self._share(1.0)
         self.finishing = asyncio.create_task(self._open_notes())
         self.clients.listener.take()
         self.handover.wait()
 
     def alone(self) -> None:
         """The process before this one has ended: all limits are this one's."""
-        self.clients.server.share(1.0)
-        self.workers.share(1.0)
+        self._share(1.0)
 
     def hear(self, body: bytes) -> int | None:
         """A callback that reached another process."""
         return self.clients.callbacks.hear(body)
 
-    def _share(self, cold: bool, part: float) -> None:
-        self.core.put(face.Cold(cold))
+    def _share(self, part: float) -> None:
         self.clients.server.share(part)
         self.workers.share(part)
 
@@ -224,9 +223,7 @@
         return able, "ready" if able else self.clients.leaving or "no worker is known that takes work"
 
     async def _dump(self) -> Answer:
-        asked = Asked(asyncio.get_running_loop().create_future())
-        self.core.put(asked)
-        listed, avoided = await asked.answer
+        listed, avoided = await self.core.ask(Asked)
         told = figures.lines(
             self.counters, self.clients.ticketed, len(self.clients.waiting), listed, avoided
         )
@@ -246,9 +243,7 @@
         return True, orjson.dumps(told).decode()
 
     async def _workers(self) -> Answer:
-        viewed = Viewed(asyncio.get_running_loop().create_future())
-        self.core.put(viewed)
-        workers, needs = await viewed.answer
+        workers, needs = await self.core.ask(Viewed)
         lines = [orjson.dumps(worker).decode() for worker in workers]
         return True, "\n".join([orjson.dumps({"needs": needs}).decode(), *lines, "EOF"])
 
@@ -260,14 +255,9 @@
             wanted = drains.drains_of(orjson.loads(text))
         except ValueError as problem:
             return False, f"no set of drains: {problem}".replace("\n", " ")
-        taken = await self._intend(wanted)
+        taken = await self.core.ask(Intended, wanted)
         return taken, f"revision {self.core.drains.revision} is in hand"
 
-    async def _intend(self, wanted: drains.Drains) -> bool:
-        intended = Intended(wanted, asyncio.get_running_loop().create_future())
-        self.core.put(intended)
-        return await intended.answer
-
     # ---------------------------------------------------------------- the end
 
     async def finish(self) -> None:
--- a/dunepulley/words.py
+++ b/dunepulley/words.py
@@ -38,6 +38,11 @@
 }
 
 
+def is_number(value: object) -> bool:
+    """Whether a value that came as JSON or TOML is a number; true and false are none."""
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
 def hash_of(text: str) -> int:
     """FNV-1a, 64 bits; 16 of them are a worker's short name in notes."""
     mixed = 0xCBF29CE484222325
@@ -73,7 +78,7 @@
 def _word(value: object, divisor: float) -> object:
     if isinstance(value, str):
         return SETTING_WORDS.get(value, value)
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    if not is_number(value):
         return value
     return value / divisor
 
