--- a/dunepulley/__main__.py
+++ b/dunepulley/__main__.py
@@ -20,6 +20,7 @@
     for name, text in (("serve", "run one dispatcher"), ("check", "say what the configuration holds")):
         command = commands.add_parser(name, help=text)
         command.add_argument("--config", help="configuration file, in place of $ROUTER_CONFIG")
+        command.add_argument("--events", action="store_true", help="write down all that is decided")
     command = commands.add_parser("agent", help="look after the dispatchers of a host")
     command.add_argument("--config", required=True, help="the agent's file")
     ctl.add_to(commands.add_parser("ctl", help="have agents show, drain, restore or restart"))
@@ -48,7 +49,7 @@
     try:
         start = config.read(os.environ, chosen.config)
         if chosen.command == "serve":
-            return asyncio.run(service.serve(start))
+            return asyncio.run(service.serve(start._replace(events=chosen.events)))
         print(start.told())
         return 0
     except config.UnusableError as problem:
--- a/dunepulley/net/config.py
+++ b/dunepulley/net/config.py
@@ -63,6 +63,7 @@
     memory_mb: float = 192.0
     trace: tuple[str, int] | None = None  # where to write down what comes in, and how many items of it
     drains: Drains = Drains()
+    events: bool = False  # whether all that goes through the module is written down, too
     scratch: str = ""  # the folder where a successor finds this process; none without it
 
     def told(self) -> str:
@@ -118,7 +119,7 @@
             float(limits.get("memory_mb", 192.0)),
             trace_of(told.get("trace")),
             drains_in(told.get("drains")),
-            environment.get("TMPDIR", ""),
+            scratch=environment.get("TMPDIR", ""),
         )
     except KeyError as problem:
         raise UnusableError(f"{path}: {problem} is missing") from problem
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -23,6 +23,7 @@
 from dunepulley.net import log
 from dunepulley.net.config import Listed
 from dunepulley.net.counters import Counters
+from dunepulley.net.events import Events
 
 # A loop's alarm may not be set for years: look again after an hour.
 LONGEST_WAIT_S = 3600.0
@@ -219,6 +220,7 @@
         self.usable = asyncio.Event()  # once a worker was known that takes work
         self.alarms: set[asyncio.TimerHandle] = set()
         self.events: list[Any] = []
+        self.tells: Events | None = None  # what goes through the module, where somebody counts it
         self.put(known)
 
     def put(self, message: Any) -> None:
@@ -231,6 +233,11 @@
         self.put(kind(*more, answer))
         return await answer
 
+    def tell(self, text: str) -> None:
+        """Write down what the module is not told, where somebody counts."""
+        if self.tells is not None:
+            self.tells.say(self.clock(), text)
+
     def can_serve(self) -> bool:
         """Whether a worker is known that takes work."""
         return bool(self.ready)
@@ -260,7 +267,10 @@
 
     def _decide(self) -> None:
         """Give the module its events and carry out what it wants."""
-        feed = Feed(in_order(self.events))
+        events = in_order(self.events)
+        if self.tells is not None:
+            self.tells.tell(self.now, events)
+        feed = Feed(events)
         self.events = []
         while True:
             try:
@@ -275,6 +285,8 @@
                     item.job.settle(Answer(face.WriteOff))
                 # What is due may have lost its alarm: have the module look again.
                 asyncio.get_running_loop().call_later(0.01, self.put, face.Alarm(0))
+            if self.tells is not None:
+                self.tells.tell(self.now, commands)
             for command in commands:
                 try:
                     WRITERS[type(command)](self, command)
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -10,6 +10,7 @@
 import resource
 import signal
 import socket
+from random import Random
 from typing import Any
 
 import orjson
@@ -22,6 +23,7 @@
 from dunepulley.net.core import Asked, Core, DrainEnded, Intended, Summed, Taught, Viewed
 from dunepulley.net.counters import Counters
 from dunepulley.net.discovery import Discovery
+from dunepulley.net.events import Events
 from dunepulley.net.peers import Peers
 from dunepulley.net.recorder import Recorder
 from dunepulley.net.workers import Workers
@@ -54,6 +56,8 @@
         self.core = Core(start.seed, start.settings, start.known, self.counters)
         self.workers = Workers(start.settings, sockets, self.core.put, self.counters)
         self.core.hands = self.workers
+        if start.events:
+            self.core.tells = Events(start.name, self.core.now)
         me = self.core.dispatcher.me
         self.peers = self.core.peers = Peers(me, start.peers, self.core.put, self.counters)
         self.clients = Clients(self.core, start.settings, sockets, self.counters, start.by_key)
@@ -131,8 +135,11 @@
         """Watch the present discovery from a version on; the watch before it, if any, is given back."""
         if self.watch is not None:
             self.watch.cancel()
-        work = Discovery(self.discovery, revision, self.core.put, self.counters).run()
-        self.watch = asyncio.create_task(work)
+        chance = Random(self.start_with.seed)
+        watch = Discovery(self.discovery, revision, self.core.put, self.counters, chance)
+        if self.core.tells is not None:
+            watch.tell = self.core.tell
+        self.watch = asyncio.create_task(watch.run())
         self.watch.add_done_callback(self._task_ended)
 
     def reload(self) -> None:
