Workers of which little is known get turns by their listed size

A worker of the smallest kind got 33 items, one of the largest 43, though listed with 2.5 and 7.5: 6.4 items stand at each of the small. Alone a dispatcher hears of a worker every second or so and corrects that; among forty it hears every six seconds, and _control let what is old or unheard go to the mean of all workers, _on_list began at it: lines at fault are 'rate = mean ...' and 'share = 1 / ready'. Ruled out: probes as better news. Asked for just before a hand-off, a report says little: it is 1.3 s old on the mean, and starts are as quick at 'no slot free' as at 'four free' (both 0.4 to 0.5 within 32 ms), and the answer comes at once at a full worker, too.

Change: both go to the usual consumption of a worker of its size.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -1009,19 +1009,19 @@
             # At light load the delivered rate only echoes what was sent: count it for the busy part only.
             busy = min(1.0, max(self.busy[i] / self.slots[i], 0.25))
             rates.append(self.rate[i] / busy if self.rate[i] >= 0.0 else -1.0)
-        known = [rate for rate in rates if rate >= 0.0]
-        mean = sum(known) / len(known) if known else 1.0
-        units = sum([self.units[i] for i in ready]) or 1.0
+        known = [(rate, self.units[i]) for i, rate in zip(ready, rates, strict=True) if rate >= 0.0]
+        # What a unit of listed size consumes: a worker of which little is known is as its size says.
+        mean = sum([rate for rate, _ in known]) / sum([size for _, size in known]) if known else 1.0
+        units = sum([self.units[i] for i in ready])
         queues = [self.queue[i] for i in ready if self.queue[i] >= 0.0]
         sum_queues = sum(queues)
         wanted = []
         over = []
         for i, rate in zip(ready, rates, strict=True):
-            if rate < 0.0:
-                rate = mean
-            # A stale report's rate decays toward the mean; after three periods half of it is gone.
+            usual = mean * self.units[i]
+            # A stale report's rate decays toward the usual; after three periods half of it is gone.
             age = (self.now - self.heard[i]) / PERIOD
-            rate = mean + (rate - mean) * 0.5 ** (age / 3.0)
+            rate = usual + (rate - usual) * 0.5 ** (age / 3.0) if rate >= 0.0 else usual
             wanted.append(max(0.0, rate) * (1.0 - min(0.9, self.trouble[i])))
             over.append(self._over_limit(i, sum_queues, len(queues)))
         total = sum(wanted) or 1.0
@@ -1058,11 +1058,11 @@
         before = self._ready()
         new = [i for i in [self._entry(entry) for entry in event.entries] if i >= 0]
         after = self._ready()
-        ready = max(1, len(after))
+        units = sum([self.units[i] for i in after])
         for i in new:
-            # An unheard worker starts at the mean weight, and somewhere at random in the rotation.
-            self.share[i] = 1.0 / ready
-            self.turn_at[i] = self.turn_now + self.chance.part() * ready
+            # An unheard worker starts at the weight of its size, and somewhere at random in the rotation.
+            self.share[i] = self.units[i] / max(units, self.units[i])
+            self.turn_at[i] = self.turn_now + self.chance.part() / self.share[i]
         if new or after != before or event.how != face.CHANGES:
             self.homes.clear()
             self._choose_used()
--- a/dunepulley/net/events.py
+++ b/dunepulley/net/events.py
@@ -37,7 +37,7 @@
     elif kind is face.Probe:
         text = f"probe {what.worker}"
     elif kind is face.Probed:
-        text = f"probed {what.worker} {what.result.replace(' ', '-')}"
+        text = f"probed {what.worker} {what.result.replace(' ', '-')} {what.took:.1f} {what.report}"
     elif kind is face.ListNews:
         states = [entry.state for entry in what.entries]
         counts = " ".join(str(states.count(state)) for state in (face.READY, face.LEAVING, face.LEFT))
