Lanes by size of work where news is thin; cold turns used; calls for the list spread

Starts that this dispatcher saw at a worker tell no more after 300 ms (waits over 80 ms: 0.11 after a quick start under 300 ms ago, 0.21 to 0.29 later, 0.28 unknown), reports nothing at all: so no choice by state can help, only which items meet. Replaced workers stand idle (starts in 22 ms on the mean, 8 s old and nearly warm) while the old ones hold queues of 2 s: the few dispatchers whose turn a cold worker is seldom use it. After the watch of all broke at one moment, discovery answered none of 130 calls in 25 s: calls wait in turn, fail after 2 s, and the next ones stand behind their remains. Half the hand-offs opened a connection: kept idle for 4 s, and used each 6 s.

Change, module: from forty workers on, among more than eight dispatchers without notes and with under one item a second for each worker, five lanes of workers, alike for all, take equal parts of the work by its size; cold workers whose turn it is come first if they are quick enough; moves cost four times as much; no probes; what a little-busy worker reports counts less.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -1,10 +1,9 @@
 """Every decision of the dispatcher, and nothing else.
 
-How to call: `Dispatcher(seed, settings, now)`, then `handle(now, events)` with each batch of events, which
-returns the commands in the order they are to be carried out. Its interface, the types of events and commands,
-is `dunepulley/interface.py`. `settings` is a plain map of names to values; unknown names are ignored, absent
-ones have defaults. The module is pure: time is what it is told, chance comes from the seed. Dispatchers share
-nothing but notes, where these are allowed; any may be lost, and no rule rests on them.
+How to call: `Dispatcher(seed, settings, now)`, then `handle(now, events)` with each batch of events of
+`dunepulley/interface.py`, which returns the commands in their order. `settings` is a plain map; unknown names
+are ignored, absent ones have defaults. The module is pure: time is told, chance comes from the seed.
+Dispatchers share nothing but notes, where these are allowed; any may be lost, and no rule rests on them.
 
 The ordinary path (docs/design.md): each control period a worker's share follows its reported consumption
 rate, is cut to 9/10 where its reported load is over the limit, and work items go out in evenly spread
@@ -23,6 +22,7 @@
 
 from collections import deque
 from collections.abc import Generator, Iterable
+from dataclasses import dataclass
 from heapq import heappop, heappush
 from math import log
 from typing import Any
@@ -84,18 +84,16 @@
         self.run_count = self.run_count * 0.99 + 1.0
 
 
+@dataclass(slots=True)
 class Tried:
     """One hand-off of a work item."""
 
-    __slots__ = ("worker", "path", "sent", "begun", "result", "clear")
-
-    def __init__(self, worker: int, path: tuple[str, bool], sent: float, clear: bool) -> None:
-        self.worker = worker
-        self.clear = clear
-        self.path = path
-        self.sent = sent
-        self.begun = 0.0
-        self.result = ""
+    worker: int
+    path: tuple[str, bool]
+    sent: float
+    clear: bool
+    begun: float = 0.0
+    result: str = ""
 
 
 class Item:
@@ -117,10 +115,7 @@
 
 
 def in_order(events: list[Any]) -> list[Any]:
-    """The events of one batch as they are to be taken: all news before any new work item.
-
-    Guards against a heap found on waking: workers that leave further down, clients that have gone again.
-    """
+    """The events of one batch as they are to be taken: all news before any new work item that still waits."""
     if len(events) < 2:
         return events
     gone = {event.wi for event in events if type(event) is face.Withdrawn}
@@ -166,6 +161,8 @@
         self.can_probe = bool(say("policyLimits.probing", False))
         self.marks_repeats = bool(say("clients.marksRetry", False))
         self.asks_left_out = self.can_probe and say("reporting.how", "none") == "answers"
+        self.lanes: list[list[int]] = []
+        self.seen_work: deque = deque(maxlen=300)
         self.beat = say("familyInfo.progressMs", 0.0)
         self.tells_start = bool(say("familyInfo.tellsStart", False))
         self.live = say("weightSource", "nominal") == "live"
@@ -173,6 +170,9 @@
         # Few sum up, so that notes are few, but more than one, and far apart in number.
         count = int(self.dispatchers) if say("policyLimits.peers", False) and self.dispatchers > 1.0 else 0
         self.relays = sorted({k * count // RELAYS for k in range(RELAYS)}) if count else []
+        # Many dispatchers, no notes, few work items each: news of a worker is older than what it runs. So
+        # parts of the workers, alike for all dispatchers, take parts of the work, by its size.
+        self.thin = self.dispatchers > MANY and not self.relays
         self.tells_queue = "queue" in listed(say("reporting.fields"))
         # Each work item that comes in earns every tenant its share of one; what it sends beyond is excess.
         self.shares = {
@@ -224,14 +224,12 @@
         self.out_of: dict[int, tuple[float, tuple]] = {}
         self.sums: dict[int, int] = {}
         self.telling, self.told_at, self.noted, self.next_told = False, 0.0, -NEVER, 0
-        self.first_turn: list[int] = []
+        self.common: list[float] = []
         self.want_used, self.seen_arrived = 0.0, 0
         self.credit, self.further_success = 1.0, 0.5
-        self.arrived = 0
-        # Half the work where to move is the only way to look. Where probes bring reports, a twentieth:
-        # whether a worker drops what is taken back is not told, and if it does not, each copy is load.
+        # Half the work where to move is the only way to look; else a twentieth: what is taken back may go on.
         self.further_part = 0.05 if self.can_probe and self.copies else 0.5
-        self.mean_work = 500.0
+        self.arrived, self.mean_work = 0, 500.0
         # Start somewhere in the period, so that dispatchers started together don't steer in step.
         self._at(now + self.chance.part() * PERIOD, self._control)
         self._at(now, self._fade)
@@ -239,8 +237,6 @@
             # Who has just started knows little of the others: listen until all have told theirs.
             self._at(now + SILENT / 2, self._sum_up)
 
-    # ---------------------------------------------------------------- events
-
     def handle(self, now: float, events: Iterable[Any]) -> list[Any]:
         """Take the events of one moment (`in_order`) and return the commands they lead to."""
         # An alarm that rings late: the machine stood still, and what has come since then waited unread.
@@ -248,7 +244,7 @@
         self.now = now
         self.commands = []
         for event in events:
-            HANDLERS[type(event)](self, event)
+            getattr(self, "_on_" + type(event).__name__.lower())(event)
         while self.deadlines and self.deadlines[0][0] <= now:
             _, _, what, stamp = heappop(self.deadlines)
             if not isinstance(what, Item):
@@ -288,11 +284,11 @@
         item.slots = max(event.slots, event.memory)
         item.key = event.key
         item.work = event.hint or category.mean_run()
+        item.lane = self._lane(item)
         self.mean_work += 0.02 * (item.work * item.slots - self.mean_work)
         item.expiry = self.now + event.budget
-        # What a repeat's budget lacks of a first try's is what earlier tries have taken of it. The expiry in
-        # the settings won't do: clients may give each try only a part of it. Nor is every short budget a
-        # repeat's: impatient clients give each item its own, and all of them would be deferred as late.
+        # What a repeat's budget lacks of a first try's is what earlier tries have taken of it. The expiry
+        # won't do: each try may have a part of it. Nor is every short budget a repeat's: some are impatient.
         arrived = self.now
         if not event.repeat:
             # The longest of late; where repeats are not marked, ten short ones in a row are none any more.
@@ -323,6 +319,16 @@
         item.course = self._course(item)
         self._drive(item, None)
 
+    def _lane(self, item: Item) -> int:
+        """Which lane an item goes to: by the part of the recent work that is in smaller ones; -1 for any."""
+        size = (item.slots, item.work)
+        self.seen_work.append((size, item.work * item.slots))
+        if not self.lanes or len(self.seen_work) < 20:
+            return -1
+        like = self.chance.part()  # a place among those of the same size
+        before = sum([work * (like if other == size else other < size) for other, work in self.seen_work])
+        return int(before / sum([work for _, work in self.seen_work]) * len(self.lanes))
+
     def _is_excess(self, tenant: str) -> bool:
         """Whether a tenant's work item goes beyond its share of what has come in of late."""
         earned = self.earned
@@ -404,11 +410,6 @@
         if event.result == face.NOT_CONNECTED:
             self._sicken(i)
 
-    def listed_and_avoided(self) -> tuple[int, int]:
-        """How many workers are listed, and how many of them get no usual turns: draining, sick, on trial."""
-        here = [i for i, state in enumerate(self.state) if state != face.LEFT]
-        return len(here), sum([self.state[i] != face.READY or self.out_step[i] > 0.0 for i in here])
-
     # ---------------------------------------------------------------- the course of a work item
 
     def _course(self, item: Item) -> Generator[tuple, Any, None]:
@@ -419,9 +420,8 @@
                 return
             i = self._in_turn(item)
             if i < 0:
-                # No slot is known to be free: a short queue will do, and no answer comes of a long one. Where
-                # queues are not reported they can't be told short from long: hold until holding cannot pay.
-                # The estimate itself is off by what one slot more or less makes.
+                # No slot is known to be free: a short queue will do. Where none is told, short can't be told
+                # from long: hold. The estimate itself is off by what one slot more or less makes.
                 error = 0.25 * self.mean_work
                 if self.now >= item.latest:
                     i = self._least_wait(item, error + item.due - self.now - 0.5 * item.work)
@@ -473,26 +473,21 @@
                     said = yield WAIT, self.now + max(30.0, 0.25 * item.work)
                 else:
                     # Only where starts are told: a look that sees nothing would come again at once, forever.
-                    # One that runs is waited for, whatever becomes of its copies.
                     look = not running and self.tells_start
                     grace = self._grace(tried)
                     said = yield WAIT, max(self.now + 1.0, tried.sent + grace) if look else NEVER
-            # No hand-off is out and none finished.
-            # What no worker may be given again is answered at once, not held.
+            # None is out, none finished. What no worker may be given again is answered at once, not held.
             barred = not any([self._may_repeat_at(item, j) for j in self._ready()])
             if not self._affords(item) or self.now >= item.expiry or barred:
                 yield GIVE_UP, 0
                 return
 
     def _cost(self, item: Item) -> float:
-        """What a further hand-off takes off the credit: its work, against that of a mean work item.
-
-        Nothing where the last one broke: this one goes out in its place, not beside it. Paid from a credit
-        that grows with the traffic, a span of broken connections would leave most of what it hit unanswered.
-        """
+        """What a further hand-off takes off the credit: its work, against that of a mean work item."""
+        # Nothing where the last one broke: this one goes in its place; a bad span must not go unanswered.
         if item.tried[-1].result in (face.CUT, face.DROPPED, face.NOT_CONNECTED, face.NOT_SENT):
             return 0.0
-        return item.work * item.slots / self.mean_work
+        return item.work * item.slots / self.mean_work * (4.0 if self.lanes else 1.0)
 
     def _affords(self, item: Item) -> bool:
         """Whether one more hand-off is allowed and paid for."""
@@ -541,8 +536,6 @@
             item.waiting = ""
             self.held.remove(item)
 
-    # ---------------------------------------------------------------- the gate
-
     def _gate(self, item: Item, i: int) -> bool:
         """The four rules, asked before every hand-off."""
         if item.over or len(item.tried) >= self.most or self.now >= item.expiry:
@@ -623,21 +616,15 @@
             self.sent_cold[i].append((self.now, self._load_of(item, i)))
         self.commands.append(face.HandOff(item.wi, self.name[i], item.expiry - self.now))
 
-    # ---------------------------------------------------------------- cold workers
-
     def _cold_age(self, i: int) -> float:
         return self.now - self.since[i] if self.since[i] > 0.0 else NEVER
 
     def _load_of(self, item: Item, i: int) -> float:
         """Slot-milliseconds that a work item is expected to take at a worker."""
-        return item.slots * item.work * self._slowness(i)
+        return item.slots * item.work * (self._kind_slowness(i) if self.lanes else self._slowness(i))
 
     def _cold_room(self, item: Item, i: int) -> bool:
-        """Whether a hand-off keeps this dispatcher's part of a cold worker's budget.
-
-        The rule counts what all dispatchers send within any span of the stated length, so each takes its own
-        part.
-        """
+        """Whether a hand-off keeps this dispatcher's part of a cold worker's budget within any span."""
         if self._cold_age(i) >= self.cold:
             return True
         span = self.settings.get("rules.tipAfterMs", 1000.0)
@@ -663,28 +650,35 @@
         part = min([category.expiry for category in self.categories.values()], default=1000.0) / 8
         if even >= 0.5 * part:
             return even
-        # Among many dispatchers nobody's even part would hold an item, and the worker would starve. So a few
-        # at a time get whole parts; each span the turn goes to others, all counting alike. Two turns fall
-        # into any span, so that each may spend half; half of that is left for chance and for workers slower
-        # than expected.
+        # Among many nobody's even part would hold an item. So a few at a time get whole parts; each span the
+        # turn goes to others, all counting alike. Two turns fall into any span, so that each may spend half;
+        # half of that is left for chance and for workers slower than expected.
         most *= 0.25
         turn = int(age / span) * (int(0.618 * self.dispatchers) + 1)
-        place = (self.me + turn + self.first_turn[i]) % self.dispatchers
+        place = (self.me + turn + int(self.common[i] * self.dispatchers)) % self.dispatchers
         if place + 1 <= most / part:
             return part
         return most if place < 1 else 0.0
 
-    # ---------------------------------------------------------------- picking a worker
-
     def _ready(self) -> list[int]:
         return [i for i, state in enumerate(self.state) if state == face.READY]
 
     def _slowness(self, i: int) -> float:
         """How long the worker runs a work item, as a multiple of what was expected of it."""
-        own = self.run_seen[i], self.run_due[i]
-        seen, due = own if own[1] else self.kind_runs[self.kind_of[i]]
+        if self.lanes:
+            return self._kind_slowness(i) / self._warmth(i)
+        return self.run_seen[i] / self.run_due[i] if self.run_due[i] else self._kind_slowness(i)
+
+    def _kind_slowness(self, i: int) -> float:
+        seen, due = self.kind_runs[self.kind_of[i]]
         return seen / due
 
+    def _warmth(self, i: int) -> float:
+        """The part of its capacity that a worker likely has: work warms most twice as fast as time alone."""
+        least = self.settings.get("rules.coldFrom", 0.1)
+        age = max(0.0, self._cold_age(i))
+        return min(1.0, least + (1.0 - least) * 2.0 * age / self.cold) if age < self.cold else 1.0
+
     def _able(self, item: Item, i: int) -> bool:
         """Whether a worker may be given this work item at all."""
         if self.state[i] != face.READY or self.now < self.out_until[i]:
@@ -701,26 +695,31 @@
         return self.since[i] <= 0.0 or self._cold_room(item, i)
 
     def _in_turn(self, item: Item, besides: int = -1) -> int:
-        """The next worker in turn with room among those in use, else among the others; or -1."""
+        """The next worker in turn, of the first group that has one with room; or -1."""
+        for among in self._groups(item):
+            i = self._next_of(among, item, besides)
+            if i >= 0:
+                return i
+        return -1
+
+    def _groups(self, item: Item) -> list[list[int]]:
+        """The workers that an item may go to, those first that it is to go to if they have room."""
         if item.key:
             homes = self._homes(item)
-            for first in range(0, len(homes), HOMES):
-                i = self._next_of(homes[first : first + HOMES], item, besides)
-                if i >= 0:
-                    return i
-            return -1
-        i = self._next_of(self.used, item, besides)
-        return i if i >= 0 or not self.spare else self._next_of(self.spare, item, besides)
+            return [homes[first : first + HOMES] for first in range(0, len(homes), HOMES)]
+        if item.lane < 0:
+            return [self.used, self.spare]
+        # The turn to send a cold worker something comes seldom, and if all let it pass, it stays cold.
+        left = 0.6 * (item.due - self.now)
+        cold = [i for i in self.used if self._cold_age(i) < self.cold]
+        cold = [i for i in cold if item.work * self._slowness(i) <= left]
+        return [cold, *sorted(self.lanes, key=lambda lane: abs(self.lanes.index(lane) - item.lane))]
 
     def _next_of(self, among: list[int], item: Item, besides: int) -> int:
-        """The next worker in turn that has room for the work item, or -1.
-
-        What speaks against a worker comes before turns: half a slot of doubt, then likely too slow for the
-        item, then a new connection or another zone, where one of these costs a point in 100.
-        """
+        """The next worker in turn that has room for the work item, or -1."""
+        # Against a worker: half a slot of doubt, likely too slow, a way that costs a point in 100.
         best, best_at, best_against = -1, NEVER, 99
-        # Own zone first unsettles the turns, so only where all workers are in use: a few of them hold too few
-        # of the own zone to carry its traffic.
+        # Own zone first unsettles the turns, so only where all are in use: a few hold too little of it.
         near = self.settings.get("prices.crossZone", 0.0) >= 0.01 and not self.spare
         kept = self.settings.get("prices.handshake", 0.0) >= 0.01
         left = item.due - self.now
@@ -737,7 +736,7 @@
             if (against, at) < (best_against, best_at) and self._able(item, i):
                 best, best_at, best_against = i, at, against
         if best >= 0:
-            self._take_turn(best)
+            self._take_turn(best, among)
         return best
 
     def _least_wait(self, item: Item, limit: float) -> int:
@@ -753,13 +752,13 @@
             if wait < best_wait and self._able(item, i):
                 best, best_wait = i, wait
         if best >= 0:
-            self._take_turn(best)
+            self._take_turn(best, self.used)
         return best
 
-    def _take_turn(self, i: int) -> None:
+    def _take_turn(self, i: int, among: list[int]) -> None:
         """Count a turn; workers passed over lose theirs and stay evenly spread."""
         at = self.turn_at[i]
-        for j in self.used:
+        for j in among:
             other = self.turn_at[j]
             if other < at:
                 self.turn_at[j] = other + 1.0 / max(self.share[j], 1e-6)
@@ -767,11 +766,8 @@
         self.turn_now = max(self.turn_now, at)
 
     def _homes(self, item: Item) -> list[int]:
-        """The workers for what an item is about: as many as its part of the traffic asks for, in their order.
-
-        They rank by a rendezvous hash, weighted by size, alike for all dispatchers: what an item needs stays
-        there. Elsewhere it would be fetched, in place of others' needs; once that spreads, none is in time.
-        """
+        """The workers for what an item is about, in their order: as many as its traffic asks for."""
+        # They rank alike for all dispatchers, weighted by size: what an item needs stays there.
         key = item.key
         ranked = self.homes.get(key)
         if ranked is None:
@@ -794,10 +790,17 @@
         self.used = sorted(well[:most] + [i for i in well[most:] if self._cold_age(i) < self.cold])
         used = set(self.used)
         self.spare = [i for _, i in order if i not in used]
+        # Eight workers at least, so that turns decide. Sick ones count: the others don't know of it.
+        count = LANES if self.thin and len(order) >= 8 * LANES else 0
+        self.lanes = [[] for _ in range(count)]
+        able = {i: self.units[i] * self._warmth(i) for _, i in order}
+        total, before = sum(able.values()), 0.0
+        for i in sorted(able, key=lambda i: self.common[i]) if count else ():
+            self.lanes[int((before + 0.5 * able[i]) / total * count)].append(i)
+            before += able[i]
 
     def _is_full(self, i: int) -> None:
-        """A hand-off that does not begin proves that no slot is free there, whatever the report says."""
-        # Until something ends there, or for a fifth of a second: a busy worker frees a slot about that often.
+        """No slot is free there, whatever is reported; a busy worker frees one each fifth of a second."""
         self.full_until[i] = self.now + 200.0
 
     def _serve_held(self) -> None:
@@ -812,8 +815,6 @@
                 if missed > 3:
                     break
 
-    # ---------------------------------------------------------------- what is known of workers
-
     def _heard_of(self, worker: str, report: dict[str, float]) -> None:
         """Take in a load report."""
         i = self.index.get(worker)
@@ -836,9 +837,8 @@
             used = max(0.0, self.slots[i] - free) + max(0.0, self.queue[i])
             self.busy[i] = 0.5 * (self.busy[i] + used)
             # The report is some way behind: compare it with what this dispatcher had there lately.
-            # A single look tells little, as work items come and go between two: three tenths of it count,
-            # more where the last is over 2 s old. In 4 s most of what was known has faded to the mean of all.
-            # Where it was asked for, nothing of ours was there to blur the look: seven tenths.
+            # A single look tells little: three tenths of it count, more where the last is over 2 s old, as
+            # that has faded. Where it was asked for, nothing of ours was there to blur it: seven tenths.
             least = 0.7 if self.asked_at[i] > self.heard[i] else 0.3
             weight = max(least, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
             if self._noted():
@@ -930,20 +930,18 @@
         slots = sum([self.slots[i] for i in ready])
         mean = sum([self.others[i] for i in ready]) / slots if slots else 0.0
         if self.held and not any(self.own) and all([self.now - self.heard[i] > 4000.0 for i in ready]):
-            # All were full once and nothing is out that could bring news: without this, beliefs that only
-            # fade to their own mean would hold back every item for ever. After 4 s little is known anyway.
-            mean = 0.0
+            mean = 0.0  # all were full once and nothing is out to bring news: items would be held for ever
         noted = self._noted()
         quick, slow = 1.0 - 0.75**steps, 1.0 - 0.9**steps
-        # Not where dispatchers are more than workers: all would ask, hear of the same free slot and crowd it.
-        asks = self.asks_left_out and self.dispatchers <= len(ready)
+        # Not where dispatchers are more than workers: all would hear of the same free slot and crowd it. Nor
+        # where news is thin: each would ask all, and what a report tells is gone by the next hand-off.
+        asks = self.asks_left_out and self.dispatchers <= len(ready) and not self.lanes
         for i in ready:
             self.own_mean[i] += quick * (self.own[i] - self.own_mean[i])
             self.wait_seen[i] *= 1.0 - slow
             full = asks and not self.own[i] and self.others[i] > self.slots[i] - 1.0
             if full and self.now - max(self.heard[i], self.asked_at[i]) > 1000.0:
-                # It is held to be full, so it gets nothing, so no answer says otherwise: ask, about as often
-                # as a report is refreshed; what is believed of it fades too slowly.
+                # Held to be full, it gets nothing, so no answer says otherwise: ask, now and then.
                 self.asked_at[i] = self.now
                 self.commands.append(face.Probe(self.name[i]))
             # Where the list tells what is held, what it does not tell anew has not changed.
@@ -999,6 +997,8 @@
         self.freed = True
         # What comes within the idle time of a connection finds it open; shrink slowly, as bursts come again.
         came = (self.arrived - self.seen_arrived) * self.settings.get("policyLimits.connIdleMs", 1e9) / PERIOD
+        came_each = (self.arrived - self.seen_arrived) * 1000.0 / PERIOD / max(1, len(ready))
+        self.thin = self.dispatchers > MANY and not self.relays and came_each < 1.0
         self.seen_arrived = self.arrived
         self.want_used = max(came, self.want_used + 0.1 * (came - self.want_used))
         self._choose_used()
@@ -1012,6 +1012,8 @@
         known = [(rate, self.units[i]) for i, rate in zip(ready, rates, strict=True) if rate >= 0.0]
         # What a unit of listed size consumes: a worker of which little is known is as its size says.
         mean = sum([rate for rate, _ in known]) / sum([size for _, size in known]) if known else 1.0
+        now = dict.fromkeys(ready, self.turn_now)
+        now |= {i: min([self.turn_at[j] for j in lane]) for lane in self.lanes for i in lane}
         units = sum([self.units[i] for i in ready])
         queues = [self.queue[i] for i in ready if self.queue[i] >= 0.0]
         sum_queues = sum(queues)
@@ -1019,9 +1021,10 @@
         over = []
         for i, rate in zip(ready, rates, strict=True):
             usual = mean * self.units[i]
-            # A stale report's rate decays toward the usual; after three periods half of it is gone.
-            age = (self.now - self.heard[i]) / PERIOD
-            rate = usual + (rate - usual) * 0.5 ** (age / 3.0) if rate >= 0.0 else usual
+            # A stale rate decays to the usual, half in three periods; in lanes, that of the idle says little.
+            sure = 0.5 ** ((self.now - self.heard[i]) / PERIOD / 3.0)
+            sure *= min(1.0, self.busy[i] / self.slots[i]) if self.lanes else 1.0
+            rate = usual + (rate - usual) * sure if rate >= 0.0 else usual
             wanted.append(max(0.0, rate) * (1.0 - min(0.9, self.trouble[i])))
             over.append(self._over_limit(i, sum_queues, len(queues)))
         total = sum(wanted) or 1.0
@@ -1033,8 +1036,8 @@
                 share += 0.2 * (even - share)
             share = max(share, 0.25 * even)
             # Keep the rotation: the next turn moves only as far as the share does.
-            left = (self.turn_at[i] - self.turn_now) * self.share[i] / share
-            self.turn_at[i] = self.turn_now + min(max(left, 0.0), 1.0 / share)
+            left = (self.turn_at[i] - now[i]) * self.share[i] / share
+            self.turn_at[i] = now[i] + min(max(left, 0.0), 1.0 / share)
             self.share[i] = share
             self.fulls[i] = 0
 
@@ -1047,7 +1050,7 @@
 
     # ---------------------------------------------------------------- the list of workers
 
-    def _on_list(self, event: face.ListNews) -> None:
+    def _on_listnews(self, event: face.ListNews) -> None:
         if event.how == face.LIST_ERROR:
             return
         if event.how != face.CHANGES:
@@ -1107,7 +1110,7 @@
         for numbers in self.figures:
             numbers.append(0.0)
         self.sent_cold.append(deque())
-        self.first_turn.append(int(rank_of("", entry.worker) * self.dispatchers))
+        self.common.append(rank_of("", entry.worker))
         self.rank.append(rank_of(str(self.settings.get("me", "")), entry.worker))
         self.hashed.append(hash_of(entry.worker))
         short = self.hashed[i] & 0xFFFF  # the low bits: names that differ in their last byte differ there
@@ -1130,29 +1133,19 @@
         self.sent_cold[i].clear()
 
 
-# Several ticks: an alarm is never this late on a machine that runs.
+# Among so many, a dispatcher hears of a worker less often than that changes, if less than once a second. Five
+# lanes part items of one slot that are short, middling and long, and those of several slots.
+MANY, LANES = 8, 5
+# Several ticks: an alarm is never this late.
 LATE = 50.0
 # The design's starting value.
 PERIOD = 2000.0
 # So many sum up what all have out.
 RELAYS = 3
-# Notes wait this long for more to go with them, and sums go out as often: as soon as price and CPU bear, as
-# later ones let more hand-offs meet full workers. Who is silent for so long is gone, or has nothing out.
+# Notes wait this long for more to go with them, and sums go out as often: as soon as price and CPU bear.
+# Who is silent for so long is gone, or has nothing out.
 NOTE, TURN, SILENT = 60.0, 160.0, 4000.0
 # Two homes at a time, so that turns decide between them; and two more than a key's part, for a busy spell.
 HOMES = 2
 # Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
 FADE = 250.0
-
-HANDLERS = {
-    face.Alarm: Dispatcher._on_alarm,
-    face.Arrived: Dispatcher._on_arrived,
-    face.Began: Dispatcher._on_began,
-    face.Cold: Dispatcher._on_cold,
-    face.Ended: Dispatcher._on_ended,
-    face.ListNews: Dispatcher._on_list,
-    face.Probed: Dispatcher._on_probed,
-    face.Streaming: Dispatcher._on_streaming,
-    face.Told: Dispatcher._on_told,
-    face.Withdrawn: Dispatcher._on_withdrawn,
-}
--- a/dunepulley/learned.py
+++ b/dunepulley/learned.py
@@ -8,6 +8,7 @@
 
 from typing import Any
 
+from dunepulley import interface as face
 from dunepulley.brain import Category, Dispatcher, listed
 from dunepulley.words import is_number
 
@@ -38,6 +39,13 @@
     }
 
 
+def listed_and_avoided(dispatcher: Dispatcher) -> tuple[int, int]:
+    """How many workers are listed, and how many of them get no usual turns: draining, sick, on trial."""
+    here = [i for i, state in enumerate(dispatcher.state) if state != face.LEFT]
+    avoided = [i for i in here if dispatcher.state[i] != face.READY or dispatcher.out_step[i] > 0.0]
+    return len(here), len(avoided)
+
+
 def seen(module: Dispatcher, worker: str) -> dict[str, Any]:
     """How one worker is seen, for people."""
     i = module.index.get(worker)
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -415,7 +415,7 @@
 
     def _read_asked(self, message: Asked) -> None:
         if not message.answer.done():
-            message.answer.set_result(self.dispatcher.listed_and_avoided())
+            message.answer.set_result(learned.listed_and_avoided(self.dispatcher))
 
     def _read_summed(self, message: Summed) -> None:
         if not message.answer.done():
--- a/dunepulley/net/discovery.py
+++ b/dunepulley/net/discovery.py
@@ -20,6 +20,11 @@
 # Asking costs what all dispatchers share: one that is refused, or cut before a whole line, waits twice
 # as long before it asks again, up to this. News counts as told 6 s late at the latest, so no longer.
 FIRST_S, LONGEST_S = 0.1, 6.0
+# Discovery is one service for all. A call may wait in turn there and fail after 2 s, and what is done for it
+# by then is lost: when many call at once, none of them is answered. So among more than a handful each calls
+# again at a time of chance within a span that leaves each this much, twice as long when it was refused. The
+# first call of all goes out at once: what discovery has to tell counts as told, heard or not.
+APART_S, HANDFUL = 0.1, 8
 # A list of thousands of workers is one line; beyond this it is no list.
 LINE_LIMIT = 64 * 1024 * 1024
 
@@ -32,9 +37,16 @@
     """Owns the watch and its connection."""
 
     def __init__(
-        self, address: str, revision: int, put: Callable[[Any], None], counters: Counters, chance: Random
+        self,
+        address: str,
+        revision: int,
+        put: Callable[[Any], None],
+        counters: Counters,
+        chance: Random,
+        dispatchers: float = 1.0,
     ) -> None:
         self.chance = chance
+        self.span = APART_S * max(0.0, dispatchers - HANDFUL)
         self.address = address
         self.revision = revision
         self.put = put
@@ -72,7 +84,8 @@
                 # A watch that brought something begins anew, others wait twice as long each time.
                 # A time of chance: what broke the watches of all must not have them ask in step.
                 pause = FIRST_S if self.heard else min(LONGEST_S, pause * 2.0)
-                await asyncio.sleep(pause * (0.5 + self.chance.random()))
+                span = self.span if self.heard else self.span * 2.0
+                await asyncio.sleep(pause * (0.5 + self.chance.random()) + span * self.chance.random())
 
     async def _watch(self, session: aiohttp.ClientSession) -> None:
         """One watch from its call to its end."""
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -136,7 +136,8 @@
         if self.watch is not None:
             self.watch.cancel()
         chance = Random(self.start_with.seed)
-        watch = Discovery(self.discovery, revision, self.core.put, self.counters, chance)
+        many = float(self.start_with.settings.get("balancers", 1.0))
+        watch = Discovery(self.discovery, revision, self.core.put, self.counters, chance, many)
         if self.core.tells is not None:
             watch.tell = self.core.tell
         self.watch = asyncio.create_task(watch.run())
--- a/dunepulley/net/workers.py
+++ b/dunepulley/net/workers.py
@@ -95,14 +95,14 @@
         self.has_reports = settings.get("reporting.how", "none") != "none"
         self.most = max(8, sockets // 8)
         self.session = aiohttp.ClientSession(
-            # The library looks for idle connections once in this time, so one may stand for twice as long:
-            # two fifths leave a fifth for a slow way and a busy moment before the worker closes it. An
-            # eighth of the descriptors may be in exchanges at once, a quarter of these with one worker, which
-            # may be silent; as many again may stand idle.
+            # The library uses none again that stood idle for longer: a fifth of the worker's time is left for
+            # a slow way and a busy moment. With less, thin traffic finds none open, and pays for a new one
+            # with the item's time and the worker's work. An eighth of the descriptors may be in exchanges at
+            # once, a quarter of these with one worker, which may be silent; as many again may stand idle.
             connector=aiohttp.TCPConnector(
                 limit=self.most,
                 limit_per_host=max(2, sockets // 32),
-                keepalive_timeout=max(0.05, 0.4 * idle),
+                keepalive_timeout=max(0.05, 0.8 * idle),
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, connect=self.connect_s),
@@ -113,6 +113,13 @@
         # A library that sends a second time by itself would make a second copy.
         self.session._retry_connection = False
         self.tasks: dict[Any, asyncio.Task] = {}
+        self.sweep_s = 0.1 * idle
+        self.sweep: asyncio.TimerHandle | None = None
+
+    def _close_idle(self) -> None:
+        """Close what stood idle: the library looks so seldom that the worker would close it first."""
+        self.session.connector._cleanup()
+        self.sweep = asyncio.get_running_loop().call_later(self.sweep_s, self._close_idle)
 
     @staticmethod
     async def _kept(session: aiohttp.ClientSession, context: Any, params: object) -> None:
@@ -120,6 +127,8 @@
             context.trace_request_ctx.kept = True
 
     def _start(self, name: Any, work: Coroutine[Any, Any, None]) -> None:
+        if self.sweep is None:
+            self.sweep = asyncio.get_running_loop().call_later(self.sweep_s, self._close_idle)
         task = asyncio.create_task(work)
         self.tasks[name] = task
         task.add_done_callback(lambda done: self._ended(name, done))
@@ -140,6 +149,8 @@
 
     async def close(self) -> None:
         """Stop all that is under way and close every connection."""
+        if self.sweep is not None:
+            self.sweep.cancel()
         tasks = list(self.tasks.values())
         for task in tasks:
             task.cancel()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,11 +1,12 @@
 """What one dispatcher does that is harmless alone and harmful when forty do it."""
 
 import pytest
-from helpers import Rig, entry
+from helpers import Rig, entry, of
 from test_decisions import report
 
-from dunepulley.brain import PERIOD
-from dunepulley.interface import FULL_LIST, ListNews
+from bench import fleet as count
+from dunepulley.brain import LANES, PERIOD
+from dunepulley.interface import FINISHED, FULL_LIST, Arrived, Began, Ended, HandOff, ListNews
 
 
 @pytest.mark.parametrize("heard_first", [False, True])
@@ -21,3 +22,105 @@
     for _ in range(20):
         rig.feed(after=PERIOD)
     assert rig.brain.share[1] > 2.5 * rig.brain.share[0]
+
+
+def fleet(me=0, many=40, entries=None, now=1000.0):
+    """One dispatcher of a large fleet, with sixty workers if no others are given."""
+    rig = Rig(workers=0, seed=me, now=now, balancers=float(many), me=float(me), familyInfo__tellsStart=True)
+    rig.feed(ListNews(FULL_LIST, tuple(entries or [entry(k) for k in range(60)])))
+    return rig
+
+
+def served(rig, name, work, after=40.0, slots=1.0):
+    """Let one item arrive, begin and finish; the worker that got it, or none."""
+    sent = of(HandOff, rig.feed(Arrived(name, "look", 5000.0, hint=work, slots=slots), after=after))
+    if sent:
+        rig.feed(Began(name, 0), after=1.0)
+        rig.feed(Ended(name, 0, FINISHED, sent[0].worker, 1.0, True))
+    return sent[0].worker if sent else None
+
+
+def test_short_work_items_are_kept_apart_from_long_ones_alike_at_all_dispatchers():
+    # Guards against short items that stand behind long ones: among many, nobody knows where a slot is free.
+    short, long = [], []
+    for me in range(5):
+        rig = fleet(me)
+        for number in range(300):
+            worker = served(rig, f"a{number}", 40.0 if number % 2 else 400.0)
+            if number >= 100:
+                (short if number % 2 else long).append(worker)
+    assert 8 <= len(set(short)) <= 60 / LANES and len(set(long)) >= 45
+    assert sum(worker in short for worker in long) < 0.25 * len(long)
+
+
+@pytest.mark.parametrize(("many", "workers"), [(3, 60), (40, 20)])
+def test_few_dispatchers_or_workers_go_without_lanes(many, workers):
+    rig = fleet(many=many, entries=[entry(k) for k in range(workers)])
+    for number in range(100):
+        served(rig, f"a{number}", 40.0 if number % 2 else 400.0)
+    assert not rig.brain.lanes
+
+
+def test_workers_that_return_cold_are_used_and_keep_the_budget_over_all_dispatchers():
+    # Guards against forty that each let their turn pass: what returns would stay cold, and the rest full.
+    cold = 24000.0
+    settings = fleet().settings
+    span, multiple = settings["rules.tipAfterMs"], settings["rules.fallMultiple"]
+    start = 100000.0
+    entries = [entry(k, since=start if k < 30 else 0.0) for k in range(60)]
+    rigs = [fleet(me, entries=entries, now=start) for me in range(40)]
+    sent = {}
+    for number in range(60):
+        for me, rig in enumerate(rigs):
+            rig.settings["rules.coldMs"] = cold
+            worker = served(rig, f"{me}-{number}", 300.0, after=100.0)
+            if worker and int(worker[1:]) < 30:
+                sent.setdefault(worker, []).append((rig.now - start, 300.0))
+    assert len(sent) == 30 and sum(map(len, sent.values())) > 60
+    least = settings.get("rules.coldFrom", 0.1)
+    for told in sent.values():
+        for at, _ in told:
+            able = least + (1.0 - least) * at / cold
+            within = sum(work for other, work in told if at <= other < at + span)
+            assert within <= multiple * able * span * 4.0
+
+
+GOOD = [
+    "0.5 = 1000.0 events 1 n0",
+    "0.5 dunepulley service: n0 listens",
+    "0.6 = 1100.0 arrived a look 500 0 40",
+    "0.6 = 1100.5 sent a w1",
+    "0.7 = 1200.0 ended a w1 full 99 0",
+    "0.7 = 1200.0 sent a w2",
+    "0.8 = 1300.0 deferred a 0",
+]
+
+
+def log_of(folder, lines, end="\n"):
+    (folder / "n0.log").write_text("\n".join(lines) + end)
+    return str(folder)
+
+
+def test_a_fleet_is_counted_by_time_and_by_worker(tmp_path, capsys):
+    assert count.main([log_of(tmp_path, GOOD), "--step", "200"]) == 0
+    _, first, second = [line.split() for line in capsys.readouterr().out.splitlines()]
+    assert first[:4] == ["0.0", "1", "0", "1"] and second[3:9] == ["1", "1", "1", "0", "1", "0"]
+    assert count.main([str(tmp_path), "--by", "worker"]) == 0
+    assert [line.split()[0] for line in capsys.readouterr().out.splitlines()[1:]] == ["w1", "w2"]
+
+
+@pytest.mark.parametrize(
+    ("lines", "end"),
+    [
+        (GOOD, ""),  # cut within the last line
+        (GOOD[:4] + ["0.7 = 1200.0 ended a w1"], "\n"),  # cut within another
+        (["0.5 = 1000.0 events 2 n0"], "\n"),  # another form
+        (GOOD[2:], "\n"),  # its beginning is gone
+        (GOOD[:1] + ["0.6 = soon sent a w1"], "\n"),
+        (["0.5 dunepulley service: n0 listens"], "\n"),  # written without --events
+    ],
+)
+def test_a_log_that_cannot_be_counted_is_refused_with_one_line(tmp_path, capsys, lines, end):
+    assert count.main([log_of(tmp_path, lines, end)]) == 2
+    told = capsys.readouterr()
+    assert not told.out and told.err.count("\n") == 1
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -227,6 +227,32 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+@pytest.mark.parametrize(("heard", "span"), [(True, 3.2), (False, 6.4)])
+@on_loop
+async def test_forty_whose_watch_ends_at_one_moment_call_over_a_span(monkeypatch, heard, span):
+    # Guards against calls that fail by each other: more wait in turn than can be answered in time.
+    waits = []
+
+    async def ended(watch, session):
+        watch.heard = heard
+        raise discovery.RefusedError("ended")
+
+    async def sleep(seconds):
+        waits.append(seconds)
+        raise asyncio.CancelledError
+
+    monkeypatch.setattr(discovery.Discovery, "_watch", ended)
+    monkeypatch.setattr(discovery.asyncio, "sleep", sleep)
+    for many in (40.0, 3.0):
+        for seed in range(40):
+            watch = discovery.Discovery("127.0.0.1:9", 3, print, Counters(), Random(seed), many)
+            with pytest.raises(asyncio.CancelledError):
+                await watch.run()
+    assert max(waits[40:]) < 0.5  # a small fleet calls again at once
+    for part in range(4):
+        assert 4 <= sum(part * span / 4 <= wait < (part + 1) * span / 4 for wait in waits[:40]) <= 18
+
+
 @on_loop
 async def test_a_fleet_that_is_refused_asks_ever_more_seldom_and_not_in_step(monkeypatch):
     # Guards against a fleet that keeps an overbooked discovery so by asking: forty started at one moment.
