Cold turns spend their whole part in lanes; a start reads no certificates

Seen: in the events of herd and join replaced workers stood idle, nearly warm after 8 s, while the old ones held queues of 2 s; of the budget's quarter a holder could use half on the mean (the part rounded down to whole items). Items that found no room in their lane went through all others. A third of a start's CPU was the library reading all certificates twice at import (118 of 450 ms; importtime and a profile: set_default_verify_paths), 30 ms the tool and the model.

--- a/dunepulley/__main__.py
+++ b/dunepulley/__main__.py
@@ -9,18 +9,24 @@
 import sys
 
 from dunepulley import VERSION
-from dunepulley.agent import ctl
-from dunepulley.model import command as model
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run one sub-command; the exit code."""
+    arguments = sys.argv[1:] if arguments is None else arguments
     parser = argparse.ArgumentParser(prog="dunepulley", description="Pushes work items to workers.")
     commands = parser.add_subparsers(dest="command", required=True)
     for name, text in (("serve", "run one dispatcher"), ("check", "say what the configuration holds")):
         command = commands.add_parser(name, help=text)
         command.add_argument("--config", help="configuration file, in place of $ROUTER_CONFIG")
         command.add_argument("--events", action="store_true", help="write down all that is decided")
+    if arguments[:1] == ["serve"]:
+        # Many start at one moment, each with a part of a core: what serving does not need is not loaded.
+        return dispatch(parser.parse_args(arguments))
+
+    from dunepulley.agent import ctl
+    from dunepulley.model import command as model
+
     command = commands.add_parser("agent", help="look after the dispatchers of a host")
     command.add_argument("--config", required=True, help="the agent's file")
     ctl.add_to(commands.add_parser("ctl", help="have agents show, drain, restore or restart"))
--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -650,15 +650,14 @@
         part = min([category.expiry for category in self.categories.values()], default=1000.0) / 8
         if even >= 0.5 * part:
             return even
-        # Among many nobody's even part would hold an item. So a few at a time get whole parts; each span the
-        # turn goes to others, all counting alike. Two turns fall into any span, so that each may spend half;
-        # half of that is left for chance and for workers slower than expected.
-        most *= 0.25
+        # Among many nobody's even part would hold an item. So a few at a time share it; each span the turn
+        # goes to others, all counting alike. Two turns fall into any span, so that each may spend half, less
+        # what is left for chance and slower workers: half of it, or a fifth in lanes, as turns seldom meet.
+        most *= 0.4 if self.lanes else 0.25
         turn = int(age / span) * (int(0.618 * self.dispatchers) + 1)
         place = (self.me + turn + int(self.common[i] * self.dispatchers)) % self.dispatchers
-        if place + 1 <= most / part:
-            return part
-        return most if place < 1 else 0.0
+        holders = max(1, int(most / part))
+        return (most / holders if self.lanes else min(most, part)) if place < holders else 0.0
 
     def _ready(self) -> list[int]:
         return [i for i, state in enumerate(self.state) if state == face.READY]
@@ -709,11 +708,12 @@
             return [homes[first : first + HOMES] for first in range(0, len(homes), HOMES)]
         if item.lane < 0:
             return [self.used, self.spare]
-        # The turn to send a cold worker something comes seldom, and if all let it pass, it stays cold.
+        # The turn to send a cold worker something comes seldom, and if all let it pass, it stays cold. Beyond
+        # the lane beside its own an item would stand among others' work, or others behind it.
         left = 0.6 * (item.due - self.now)
         cold = [i for i in self.used if self._cold_age(i) < self.cold]
         cold = [i for i in cold if item.work * self._slowness(i) <= left]
-        return [cold, *sorted(self.lanes, key=lambda lane: abs(self.lanes.index(lane) - item.lane))]
+        return [cold, *sorted(self.lanes, key=lambda lane: abs(self.lanes.index(lane) - item.lane))[:2]]
 
     def _next_of(self, among: list[int], item: Item, besides: int) -> int:
         """The next worker in turn that has room for the work item, or -1."""
@@ -790,8 +790,8 @@
         self.used = sorted(well[:most] + [i for i in well[most:] if self._cold_age(i) < self.cold])
         used = set(self.used)
         self.spare = [i for _, i in order if i not in used]
-        # Eight workers at least, so that turns decide. Sick ones count: the others don't know of it.
-        count = LANES if self.thin and len(order) >= 8 * LANES else 0
+        # Ten workers at least, so that turns decide. Sick ones count: the others don't know of it.
+        count = LANES if self.thin and len(order) >= 10 * LANES else 0
         self.lanes = [[] for _ in range(count)]
         able = {i: self.units[i] * self._warmth(i) for _, i in order}
         total, before = sum(able.values()), 0.0
@@ -1115,8 +1115,7 @@
         self.hashed.append(hash_of(entry.worker))
         short = self.hashed[i] & 0xFFFF  # the low bits: names that differ in their last byte differ there
         self.short.append(short)
-        # Of two that share a short name nothing is known by it.
-        self.by_short[short] = -1 if short in self.by_short else i
+        self.by_short[short] = -1 if short in self.by_short else i  # of two that share it nothing is known
         self.last_report.append(None)
         self._reset(i)
         return i
@@ -1133,9 +1132,9 @@
         self.sent_cold[i].clear()
 
 
-# Among so many, a dispatcher hears of a worker less often than that changes, if less than once a second. Five
+# Among so many, a dispatcher hears of a worker less often than that changes, if less than once a second. Four
 # lanes part items of one slot that are short, middling and long, and those of several slots.
-MANY, LANES = 8, 5
+MANY, LANES = 8, 4
 # Several ticks: an alarm is never this late.
 LATE = 50.0
 # The design's starting value.
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import subprocess
 import sys
 from random import Random
 
@@ -488,3 +489,20 @@
         "dunepulley one: 45 more lines were left out",
         "dunepulley one: d",
     ]
+
+
+def test_a_start_loads_no_more_than_serving_needs():
+    # Guards against a start that takes long for forty at once: certificates, the tool, the model.
+    code = """
+import _ssl, ssl, sys
+from dunepulley.__main__ import main
+assert main(["serve", "--config", "/nowhere"]) == 2
+from dunepulley.net import service
+loaded = [name for name in sys.modules if name.startswith(("dunepulley.agent", "dunepulley.model", "numpy"))]
+assert set(loaded) <= {"dunepulley.agent", "dunepulley.agent.wire"}, loaded
+import aiohttp.connector
+assert not aiohttp.connector._SSL_CONTEXT_VERIFIED.cert_store_stats()["x509"]
+assert ssl.SSLContext.set_default_verify_paths is _ssl._SSLContext.set_default_verify_paths
+"""
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
