--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -729,10 +729,11 @@
                 continue
             slots = self.slots[i]
             room = slots - self.own[i] - self.others[i] - (item.slots if item.slots < slots else slots)
-            if room < -0.5 or self.now < self.full_until[i]:
+            run = item.work * self._slowness(i)
+            if room < -0.5 or self.now < self.full_until[i] or (self.lanes and run > left):
                 continue
             dear = (near and self.zone_of[i] != self.zone) or (kept and self.linked[i] < self.now)
-            against = 4 * (room < 0.0) + 2 * (item.work * self._slowness(i) > 0.6 * left) + dear
+            against = 4 * (room < 0.0) + 2 * (run > 0.6 * left) + dear
             if (against, at) < (best_against, best_at) and self._able(item, i):
                 best, best_at, best_against = i, at, against
         if best >= 0:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -53,6 +53,17 @@
     assert sum(worker in short for worker in long) < 0.25 * len(long)
 
 
+def test_in_lanes_no_work_item_goes_where_it_can_only_be_late():
+    # Guards against work that is run for nothing while the fleet is short: taken back, it runs on.
+    rig = fleet(entries=[entry(k, kind="slow" if k % 2 else "box") for k in range(60)])
+    for number in range(30):
+        served(rig, f"a{number}", 300.0)
+    rig.brain.kind_runs["slow"][:] = 3000.0, 1000.0
+    rig.brain.others[::2] = [9.0] * 30  # no room at those that are quick enough
+    assert served(rig, "late", 300.0) is None
+    assert served(rig, "short", 30.0)
+
+
 @pytest.mark.parametrize(("many", "workers"), [(3, 60), (40, 20)])
 def test_few_dispatchers_or_workers_go_without_lanes(many, workers):
     rig = fleet(many=many, entries=[entry(k) for k in range(workers)])
