Sick workers out for two turns, sure lateness and waits asked in one place, in lanes

Seen: a test of forty dispatchers and a third of the workers gone lost 1,209 hand-offs for 2,400 items: _sicken's 0.5 s is over before the next turn there, 6 s on, so each turn is a trial. _least_wait looked at all lanes, and still chose workers at which an item can only be late, as only _next_of asked. Items held in a lane had nowhere to go if the lanes ended meanwhile (_groups).

Change, where there are lanes: out for two turns at least, 8 s at most; _able asks for sure lateness; waits in the item's own lanes. Held items fall back to all workers. The zone test is within 0.35 of an item now.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -229,7 +229,7 @@
         self.credit, self.further_success = 1.0, 0.5
         # Half the work where to move is the only way to look; else a twentieth: what is taken back may go on.
         self.further_part = 0.05 if self.can_probe and self.copies else 0.5
-        self.arrived, self.mean_work = 0, 500.0
+        self.arrived, self.mean_work, self.came_each = 0, 500.0, 1.0
         # Start somewhere in the period, so that dispatchers started together don't steer in step.
         self._at(now + self.chance.part() * PERIOD, self._control)
         self._at(now, self._fade)
@@ -469,8 +469,7 @@
                             continue
                         if j >= 0 and self.can_take_back:
                             yield TAKE_BACK, len(item.tried) - 1
-                    # Look again after a quarter of a run: a slot is then likely to have come free somewhere.
-                    said = yield WAIT, self.now + max(30.0, 0.25 * item.work)
+                    said = yield WAIT, self.now + max(30.0, 0.25 * item.work)  # a slot has likely come free
                 else:
                     # Only where starts are told: a look that sees nothing would come again at once, forever.
                     look = not running and self.tells_start
@@ -680,7 +679,8 @@
 
     def _able(self, item: Item, i: int) -> bool:
         """Whether a worker may be given this work item at all."""
-        if self.state[i] != face.READY or self.now < self.out_until[i]:
+        late = self.lanes and item.work * self._slowness(i) > item.due - self.now
+        if late or self.state[i] != face.READY or self.now < self.out_until[i]:
             return False
         if self.out_step[i] and self.own[i] > 0:
             return False  # a worker on trial gets one work item at a time
@@ -706,7 +706,7 @@
         if item.key:
             homes = self._homes(item)
             return [homes[first : first + HOMES] for first in range(0, len(homes), HOMES)]
-        if item.lane < 0:
+        if item.lane < 0 or not self.lanes:
             return [self.used, self.spare]
         # The turn to send a cold worker something comes seldom, and if all let it pass, it stays cold. Beyond
         # the lane beside its own an item would stand among others' work, or others behind it.
@@ -729,11 +729,10 @@
                 continue
             slots = self.slots[i]
             room = slots - self.own[i] - self.others[i] - (item.slots if item.slots < slots else slots)
-            run = item.work * self._slowness(i)
-            if room < -0.5 or self.now < self.full_until[i] or (self.lanes and run > left):
+            if room < -0.5 or self.now < self.full_until[i]:
                 continue
             dear = (near and self.zone_of[i] != self.zone) or (kept and self.linked[i] < self.now)
-            against = 4 * (room < 0.0) + 2 * (run > 0.6 * left) + dear
+            against = 4 * (room < 0.0) + 2 * (item.work * self._slowness(i) > 0.6 * left) + dear
             if (against, at) < (best_against, best_at) and self._able(item, i):
                 best, best_at, best_against = i, at, against
         if best >= 0:
@@ -743,7 +742,7 @@
     def _least_wait(self, item: Item, limit: float) -> int:
         """Where the wait is expected to be the shortest, if it is within the limit; else -1."""
         best, best_wait = -1, limit
-        for i in self._homes(item) if item.key else range(len(self.state)):
+        for i in sum(self._groups(item), []) if item.key or self.lanes else range(len(self.state)):
             # A queue that is not told shows in how long the last hand-offs there took to begin.
             if self.state[i] != face.READY or self.wait_seen[i] >= best_wait:
                 continue
@@ -811,8 +810,7 @@
         for item in list(self.held):
             if item.waiting is HOLD:
                 self._drive(item, TRY)
-                # Later ones may fit where this one does not, but not many.
-                missed = missed + 1 if item.waiting is HOLD else 0
+                missed = missed + 1 if item.waiting is HOLD else 0  # later ones may fit, but not many
                 if missed > 3:
                     break
 
@@ -986,7 +984,9 @@
     def _sicken(self, i: int) -> None:
         """No turns for a while, twice as long each time until something finishes there; then trials."""
         if self.now >= self.out_until[i]:
-            self.out_step[i] = min(8000.0, max(500.0, self.out_step[i] * 2.0))
+            # In lanes at least until its next turn but one: sooner, each turn would be a trial.
+            least = 2000.0 / max(0.1, self.came_each) if self.lanes else 500.0
+            self.out_step[i] = min(8000.0, max(least, self.out_step[i] * 2.0))
             self.out_until[i] = self.now + self.out_step[i] * (0.75 + 0.5 * self.chance.part())
 
     # ---------------------------------------------------------------- the control period
@@ -998,8 +998,8 @@
         self.freed = True
         # What comes within the idle time of a connection finds it open; shrink slowly, as bursts come again.
         came = (self.arrived - self.seen_arrived) * self.settings.get("policyLimits.connIdleMs", 1e9) / PERIOD
-        came_each = (self.arrived - self.seen_arrived) * 1000.0 / PERIOD / max(1, len(ready))
-        self.thin = self.dispatchers > MANY and not self.relays and came_each < 1.0
+        self.came_each = (self.arrived - self.seen_arrived) * 1000.0 / PERIOD / max(1, len(ready))
+        self.thin = self.dispatchers > MANY and not self.relays and self.came_each < 1.0
         self.seen_arrived = self.arrived
         self.want_used = max(came, self.want_used + 0.1 * (came - self.want_used))
         self._choose_used()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,17 @@
 
 from bench import fleet as count
 from dunepulley.brain import LANES, PERIOD
-from dunepulley.interface import FINISHED, FULL_LIST, Arrived, Began, Ended, HandOff, ListNews
+from dunepulley.interface import (
+    FINISHED,
+    FULL_LIST,
+    NOT_CONNECTED,
+    Arrived,
+    Began,
+    Ended,
+    HandOff,
+    ListNews,
+    Probe,
+)
 
 
 @pytest.mark.parametrize("heard_first", [False, True])
@@ -24,9 +34,10 @@
     assert rig.brain.share[1] > 2.5 * rig.brain.share[0]
 
 
-def fleet(me=0, many=40, entries=None, now=1000.0):
+def fleet(me=0, many=40, entries=None, now=1000.0, **more):
     """One dispatcher of a large fleet, with sixty workers if no others are given."""
-    rig = Rig(workers=0, seed=me, now=now, balancers=float(many), me=float(me), familyInfo__tellsStart=True)
+    more |= {"balancers": float(many), "me": float(me), "familyInfo__tellsStart": True}
+    rig = Rig(workers=0, seed=me, now=now, **more)
     rig.feed(ListNews(FULL_LIST, tuple(entries or [entry(k) for k in range(60)])))
     return rig
 
@@ -64,6 +75,20 @@
     assert served(rig, "short", 30.0)
 
 
+def test_a_held_item_is_served_when_the_lanes_have_gone_meanwhile():
+    # Guards against a burst that ends the lanes: what was held in one would have no worker left to go to.
+    rig = fleet()
+    for number in range(30):
+        served(rig, f"a{number}", 300.0)
+    rig.brain.others[:] = [9.0] * 60
+    assert served(rig, "held", 300.0) is None
+    rig.brain.thin = False
+    rig.brain._choose_used()
+    rig.brain.others[:] = [0.0] * 60
+    rig.brain.freed = True
+    assert of(HandOff, rig.feed(after=1.0))
+
+
 @pytest.mark.parametrize(("many", "workers"), [(3, 60), (40, 20)])
 def test_few_dispatchers_or_workers_go_without_lanes(many, workers):
     rig = fleet(many=many, entries=[entry(k) for k in range(workers)])
@@ -135,3 +160,52 @@
     assert count.main([log_of(tmp_path, lines, end)]) == 2
     told = capsys.readouterr()
     assert not told.out and told.err.count("\n") == 1
+
+
+def spread(times, span):
+    """The largest part of the fleet that acts within any tenth of the span."""
+    return max(sum(at <= other < at + span / 10 for other in times) for at in times) / len(times)
+
+
+def test_forty_started_at_one_moment_do_not_steer_or_try_sick_workers_in_step():
+    # Guards against forty that all act at once: each is right alone, together they swing the fleet.
+    rigs = [fleet(me) for me in range(40)]
+    steers, tries = [], []
+    for rig in rigs:
+        brain = rig.brain
+        steers += [when for when, _, what, _ in brain.deadlines if what == brain._control]
+        brain._sicken(0)
+        tries.append(brain.out_until[0])
+    assert len(steers) == 40 and spread(steers, PERIOD) <= 0.3
+    assert spread(tries, max(tries) - min(tries)) <= 0.35
+
+
+def test_a_zone_that_vanishes_costs_few_items_and_does_not_crowd_what_remains():
+    # Guards against forty that each go on trying the dead, and that all flee to the same few workers.
+    gone = {f"w{k}" for k in range(0, 60, 3)}
+    lost, taken = 0, dict.fromkeys([f"w{k}" for k in range(60) if k % 3], 0)
+    for me in range(40):
+        rig = fleet(me)
+        for number in range(60):
+            # Of no two the same work: they go to all lanes.
+            work = 40.0 + 10.0 * ((7 * number + me) % 60)
+            sent = of(HandOff, rig.feed(Arrived(f"a{number}", "look", 5000.0, hint=work), after=100.0))
+            while sent and sent[0].worker in gone:
+                ho = len(rig.sent[f"a{number}"]) - 1
+                lost += 1
+                sent = of(HandOff, rig.feed(Ended(f"a{number}", ho, NOT_CONNECTED, sent[0].worker)))
+            if sent:
+                ho = len(rig.sent[f"a{number}"]) - 1
+                rig.feed(Began(f"a{number}", ho), after=1.0)
+                rig.feed(Ended(f"a{number}", ho, FINISHED, sent[0].worker, 1.0, True))
+                taken[sent[0].worker] += 1
+    assert lost < 0.35 * 40 * 60
+    assert sum(taken.values()) > 0.98 * 40 * 60
+    assert max(taken.values()) < 3.0 * sum(taken.values()) / len(taken)
+
+
+def test_in_lanes_nobody_asks_workers_for_news():
+    # Guards against forty that ask sixty: what a report tells is gone by the next hand-off.
+    rig = fleet(policyLimits__probing=True, reporting__how="answers")
+    rig.brain.others[:] = [9.0] * 60
+    assert not [command for _ in range(40) for command in of(Probe, rig.feed(after=250.0))]
