--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -7,7 +7,7 @@
 
 The ordinary path (docs/design.md): each control period a worker's share follows its reported consumption
 rate, is cut to 9/10 where its reported load is over the limit, and work items go out in evenly spread
-weighted turns.
+weighted turns; in a much bigger fleet, among the workers of the lane that its size gives it (docs/design.md).
 
 The mechanisms beside the design:
  1. fit: a worker without a free slot is passed over, and a work item for which there is none is held;
