After a reading: no idle time does not spin the look for idle connections; events for serve only

Seen in a reading, not in service: with connIdleMs 0, which is a time that the configuration takes, Workers.sweep_s was 0 and _close_idle set itself off again at once.

No decision changed.

--- a/dunepulley/__main__.py
+++ b/dunepulley/__main__.py
@@ -19,7 +19,8 @@
     for name, text in (("serve", "run one dispatcher"), ("check", "say what the configuration holds")):
         command = commands.add_parser(name, help=text)
         command.add_argument("--config", help="configuration file, in place of $ROUTER_CONFIG")
-        command.add_argument("--events", action="store_true", help="write down all that is decided")
+        if name == "serve":
+            command.add_argument("--events", action="store_true", help="write down all that is decided")
     if arguments[:1] == ["serve"]:
         # Many start at one moment, each with a part of a core: what serving does not need is not loaded.
         return dispatch(parser.parse_args(arguments))
--- a/dunepulley/net/events.py
+++ b/dunepulley/net/events.py
@@ -58,7 +58,7 @@
         self.write([f"= {now:.1f} {text}" for text in map(told_of, what) if text])
 
     def say(self, now: float, text: str) -> None:
-        """Write down what the module is not told: connections opened, calls for the list."""
+        """Write down what the module is not told: calls for the list, and refusals."""
         self.write([f"= {now:.1f} {text}"])
 
     @staticmethod
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -138,8 +138,7 @@
         chance = Random(self.start_with.seed)
         many = float(self.start_with.settings.get("balancers", 1.0))
         watch = Discovery(self.discovery, revision, self.core.put, self.counters, chance, many)
-        if self.core.tells is not None:
-            watch.tell = self.core.tell
+        watch.tell = self.core.tell
         self.watch = asyncio.create_task(watch.run())
         self.watch.add_done_callback(self._task_ended)
 
--- a/dunepulley/net/workers.py
+++ b/dunepulley/net/workers.py
@@ -113,12 +113,15 @@
         # A library that sends a second time by itself would make a second copy.
         self.session._retry_connection = False
         self.tasks: dict[Any, asyncio.Task] = {}
-        self.sweep_s = 0.1 * idle
+        self.sweep_s = max(0.05, 0.1 * idle)
         self.sweep: asyncio.TimerHandle | None = None
 
     def _close_idle(self) -> None:
         """Close what stood idle: the library looks so seldom that the worker would close it first."""
         self.session.connector._cleanup()
+        self._sweep_later()
+
+    def _sweep_later(self) -> None:
         self.sweep = asyncio.get_running_loop().call_later(self.sweep_s, self._close_idle)
 
     @staticmethod
@@ -128,7 +131,7 @@
 
     def _start(self, name: Any, work: Coroutine[Any, Any, None]) -> None:
         if self.sweep is None:
-            self.sweep = asyncio.get_running_loop().call_later(self.sweep_s, self._close_idle)
+            self._sweep_later()
         task = asyncio.create_task(work)
         self.tasks[name] = task
         task.add_done_callback(lambda done: self._ended(name, done))
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -187,6 +187,15 @@
         assert [call.method for call in peer.seen][kept:] == (["POST"] if heard else ["POST", "DELETE"])
 
 
+@on_loop
+async def test_no_idle_time_at_all_does_not_keep_the_process_busy():
+    # Guards against a look for idle connections that sets itself off again at once, for ever.
+    async with Peer(lambda call: TAKEN) as peer, Sender(**{"policyLimits.connIdleMs": 0.0}) as sender:
+        sender.send(peer.address)
+        await sender.accepted(1)
+        assert sender.workers.sweep.when() - asyncio.get_running_loop().time() > 0.01
+
+
 @on_loop
 async def test_connections_are_kept_and_closed_before_the_worker_does():
     async with Peer(lambda call: TAKEN) as peer, Sender(**{"policyLimits.connIdleMs": 700.0}) as sender:
