A broken watch of a pushed list is opened at once, and a start serves from its agent's first word

On join the watches fell silent at 0.3 s, were given up at 3.3 s, and the next calls went out up to 19 s later. Ruled out by the logs: refusals (0 of 473 calls), late answers (20 ms each), a list not carried out (work stops within a batch of its list). At fault: net/discovery.py, the span of 0.1 s for each dispatcher beyond eight before every call, 19 s at two hundred; and a start that took work with the list of its configuration before the agent's first word. Where lists are pushed the agent is on the dispatcher's own machine and answers at once, so the span is left to discoveries that are asked, or that have turned calls away; dunepulley/watching.py decides the waits, and states for each path the longest time an old list can be acted on.

--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -27,6 +27,7 @@
 from dunepulley.net.peers import Peers
 from dunepulley.net.recorder import Recorder
 from dunepulley.net.workers import Workers
+from dunepulley.watching import Patience
 
 # The front goes on sending connections for 0.4 s after SIGTERM, for 0.3 s after our health says no.
 STILL_COMING_S = 0.5
@@ -78,6 +79,8 @@
         self.clients.callbacks.elsewhere = self.handover.pass_on
         self.discovery = start.discovery
         self.watch: asyncio.Task | None = None
+        self.patience: Patience
+        self.first_word: asyncio.Event
         self.task: asyncio.Task | None = None
         self.finishing: asyncio.Task | None = None
         self.ended = asyncio.Event()  # by a fault
@@ -111,6 +114,9 @@
                 self.console.listener.take()
         except OSError as problem:
             raise config.UnusableError(f"cannot listen at {host}:{port}: {problem.strerror}") from problem
+        # The list of the configuration may be old, and what the agent has counts as told from the start on.
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.first_word.wait(), self.patience.start)
         if self.inherited is not None:
             self.core.put(face.Cold(False))
             self._share(HALF)
@@ -135,10 +141,12 @@
         """Watch the present discovery from a version on; the watch before it, if any, is given back."""
         if self.watch is not None:
             self.watch.cancel()
-        chance = Random(self.start_with.seed)
-        many = float(self.start_with.settings.get("balancers", 1.0))
-        watch = Discovery(self.discovery, revision, self.core.put, self.counters, chance, many)
+        settings = self.start_with.settings
+        many, pushed = float(settings.get("balancers", 1.0)), settings.get("discovery") == "pushed"
+        self.patience = Patience(Random(self.start_with.seed), many, pushed)
+        watch = Discovery(self.discovery, revision, self.core.put, self.counters, self.patience)
         watch.tell = self.core.tell
+        self.first_word = watch.first
         self.watch = asyncio.create_task(watch.run())
         self.watch.add_done_callback(self._task_ended)
 
