Cold workers get turns of four spans, and kinds not yet seen have the slots of the others

Of the budget that turns allowed for cold workers two fifths were spent (865 slot-seconds allowed in 3 s, 344 sent): turns of one span are too short for the items that come, two turns fall into any span, and long items fit none.

At fault: _cold_part, _groups (0.6 of the time left), and _entry. Now a turn lasts four spans, nobody sends in its first, so no span holds two turns and eight tenths of the budget are spent by construction; at most six share it, so that parts hold long items.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -170,9 +170,6 @@
         # Few sum up, so that notes are few, but more than one, and far apart in number.
         count = int(self.dispatchers) if say("policyLimits.peers", False) and self.dispatchers > 1.0 else 0
         self.relays = sorted({k * count // RELAYS for k in range(RELAYS)}) if count else []
-        # Many dispatchers, no notes, few work items each: news of a worker is older than what it runs. So
-        # parts of the workers, alike for all dispatchers, take parts of the work, by its size.
-        self.thin = self.dispatchers > MANY and not self.relays
         self.tells_queue = "queue" in listed(say("reporting.fields"))
         # Each work item that comes in earns every tenant its share of one; what it sends beyond is excess.
         self.shares = {
@@ -229,7 +226,7 @@
         self.credit, self.further_success = 1.0, 0.5
         # Half the work where to move is the only way to look; else a twentieth: what is taken back may go on.
         self.further_part = 0.05 if self.can_probe and self.copies else 0.5
-        self.arrived, self.mean_work, self.came_each = 0, 500.0, 1.0
+        self.arrived, self.mean_work, self.came_each = 0, 500.0, 0.9
         # Start somewhere in the period, so that dispatchers started together don't steer in step.
         self._at(now + self.chance.part() * PERIOD, self._control)
         self._at(now, self._fade)
@@ -556,9 +553,8 @@
             # The hand-off takes a while to arrive: keep a tenth of the window clear.
             if self.now - tried.sent > category.window * 0.9:
                 return False
-            if category.group == "zone" and self.zone_of[i] != self.zone_of[tried.worker]:
-                return False
-            if category.group == "cell" and self.cell_of[i] != self.cell_of[tried.worker]:
+            group = {"zone": self.zone_of, "cell": self.cell_of}.get(category.group)
+            if group and group[i] != group[tried.worker]:
                 return False
         return True
 
@@ -649,14 +645,17 @@
         part = min([category.expiry for category in self.categories.values()], default=1000.0) / 8
         if even >= 0.5 * part:
             return even
-        # Among many nobody's even part would hold an item. So a few at a time share it; each span the turn
-        # goes to others, all counting alike. Two turns fall into any span, so that each may spend half, less
-        # what is left for chance and slower workers: half of it, or a fifth in lanes, as turns seldom meet.
-        most *= 0.4 if self.lanes else 0.25
-        turn = int(age / span) * (int(0.618 * self.dispatchers) + 1)
+        # Among many nobody's even part would hold an item. So a few at a time share it, then others, all
+        # counting alike. A turn lasts long, and in its first span nobody sends, so that no span holds two.
+        # Not in step with workers that start together. A fifth is left for chance.
+        spans = int(age / span) + int(self.common[i] * 7919.0) % LONG
+        if spans % LONG == 0:
+            return 0.0
+        turn = spans // LONG * (int(0.618 * self.dispatchers) + 1)
         place = (self.me + turn + int(self.common[i] * self.dispatchers)) % self.dispatchers
-        holders = max(1, int(most / part))
-        return (most / holders if self.lanes else min(most, part)) if place < holders else 0.0
+        # Six at most: parts that grow with the budget hold long items, too.
+        holders = max(1, min(6, int(0.8 * most / part)))
+        return 0.8 * most / holders if place < holders else 0.0
 
     def _ready(self) -> list[int]:
         return [i for i, state in enumerate(self.state) if state == face.READY]
@@ -710,7 +709,7 @@
             return [self.used, self.spare]
         # The turn to send a cold worker something comes seldom, and if all let it pass, it stays cold. Beyond
         # the lane beside its own an item would stand among others' work, or others behind it.
-        left = 0.6 * (item.due - self.now)
+        left = 0.75 * (item.due - self.now)
         cold = [i for i in self.used if self._cold_age(i) < self.cold]
         cold = [i for i in cold if item.work * self._slowness(i) <= left]
         return [cold, *sorted(self.lanes, key=lambda lane: abs(self.lanes.index(lane) - item.lane))[:2]]
@@ -759,9 +758,8 @@
         """Count a turn; workers passed over lose theirs and stay evenly spread."""
         at = self.turn_at[i]
         for j in among:
-            other = self.turn_at[j]
-            if other < at:
-                self.turn_at[j] = other + 1.0 / max(self.share[j], 1e-6)
+            if self.turn_at[j] < at:
+                self.turn_at[j] += 1.0 / max(self.share[j], 1e-6)
         self.turn_at[i] = at + 1.0 / max(self.share[i], 1e-6)
         self.turn_now = max(self.turn_now, at)
 
@@ -790,8 +788,11 @@
         self.used = sorted(well[:most] + [i for i in well[most:] if self._cold_age(i) < self.cold])
         used = set(self.used)
         self.spare = [i for _, i in order if i not in used]
+        # Many dispatchers, no notes, few work items each: news of a worker is older than what it runs. So
+        # parts of the workers, alike for all dispatchers, take parts of the work, by its size.
+        thin = self.dispatchers > MANY and not self.relays and self.came_each < 1.0
         # Ten workers at least, so that turns decide. Sick ones count: the others don't know of it.
-        count = LANES if self.thin and len(order) >= 10 * LANES else 0
+        count = LANES if thin and len(order) >= 10 * LANES else 0
         self.lanes = [[] for _ in range(count)]
         able = {i: self.units[i] * self._warmth(i) for _, i in order}
         total, before = sum(able.values()), 0.0
@@ -830,9 +831,7 @@
             if round(free) > self.kind_slots.get(kind, 1.0):
                 # Workers of a kind are built alike: the most that was ever free is what they have.
                 self.kind_slots[kind] = float(round(free))
-                for j, other in enumerate(self.kind_of):
-                    if other == kind:
-                        self.slots[j] = self.kind_slots[kind]
+                self.slots[:] = [self.slots_of(other) for other in self.kind_of]
             used = max(0.0, self.slots[i] - free) + max(0.0, self.queue[i])
             self.busy[i] = 0.5 * (self.busy[i] + used)
             # The report is some way behind: compare it with what this dispatcher had there lately.
@@ -999,17 +998,14 @@
         # What comes within the idle time of a connection finds it open; shrink slowly, as bursts come again.
         came = (self.arrived - self.seen_arrived) * self.settings.get("policyLimits.connIdleMs", 1e9) / PERIOD
         self.came_each = (self.arrived - self.seen_arrived) * 1000.0 / PERIOD / max(1, len(ready))
-        self.thin = self.dispatchers > MANY and not self.relays and self.came_each < 1.0
         self.seen_arrived = self.arrived
         self.want_used = max(came, self.want_used + 0.1 * (came - self.want_used))
         self._choose_used()
         if not ready:
             return
-        rates = []
-        for i in ready:
-            # At light load the delivered rate only echoes what was sent: count it for the busy part only.
-            busy = min(1.0, max(self.busy[i] / self.slots[i], 0.25))
-            rates.append(self.rate[i] / busy if self.rate[i] >= 0.0 else -1.0)
+        # At light load the delivered rate only echoes what was sent: count it for the busy part only.
+        busy = {i: min(1.0, max(self.busy[i] / self.slots[i], 0.25)) for i in ready}
+        rates = [self.rate[i] / busy[i] if self.rate[i] >= 0.0 else -1.0 for i in ready]
         known = [(rate, self.units[i]) for i, rate in zip(ready, rates, strict=True) if rate >= 0.0]
         # What a unit of listed size consumes: a worker of which little is known is as its size says.
         mean = sum([rate for rate, _ in known]) / sum([size for _, size in known]) if known else 1.0
@@ -1086,8 +1082,7 @@
         self.kind_of[i] = entry.kind
         self.kind_runs.setdefault(entry.kind, [1000.0, 1000.0])
         self.state[i] = entry.state
-        # Not knowing the size means assuming little.
-        self.slots[i] = self.kind_slots.get(entry.kind, 1.0)
+        self.slots[i] = self.slots_of(entry.kind)
         size = entry.units if 0.0 < entry.units < 1e9 else 1.0
         if self.live:
             # Listed is the size, less the more is held: the most that a kind was listed with is its size.
@@ -1102,6 +1097,10 @@
         self.since[i] = entry.since
         return -1 if known else i
 
+    def slots_of(self, kind: str) -> float:
+        """What a worker of a kind runs at once; not knowing it means assuming the least that others do."""
+        return self.kind_slots.get(kind) or min(self.kind_slots.values(), default=1.0)
+
     def _new_worker(self, entry: face.Entry) -> int:
         i = len(self.name)
         self.index[entry.worker] = i
@@ -1136,6 +1135,8 @@
 # Among so many, a dispatcher hears of a worker less often than that changes, if less than once a second. Four
 # lanes part items of one slot that are short, middling and long, and those of several slots.
 MANY, LANES = 8, 4
+# A turn to send a cold worker something: of so many spans one goes by unused.
+LONG = 4
 # Several ticks: an alarm is never this late.
 LATE = 50.0
 # The design's starting value.
