Kinds not yet seen count as the others in the cold budget only

At fault: slots_of, which also told fit how much room a worker has; a full fleet then holds more and sends less.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -639,7 +639,9 @@
         age = max(0.0, self._cold_age(i))
         least = self.settings.get("rules.coldFrom", 0.1)
         able = least + (1.0 - least) * age / self.cold
-        most = self.settings.get("rules.fallMultiple", 1.0) * able * self.slots[i] * span
+        # A kind that was never seen with slots free is taken for the least of those that were.
+        slots = max(self.slots[i], min(self.kind_slots.values(), default=1.0))
+        most = self.settings.get("rules.fallMultiple", 1.0) * able * slots * span
         even = most / self.dispatchers
         # The least that is of use: an item of the shortest category, by the guess made before any is seen.
         part = min([category.expiry for category in self.categories.values()], default=1000.0) / 8
@@ -831,7 +833,7 @@
             if round(free) > self.kind_slots.get(kind, 1.0):
                 # Workers of a kind are built alike: the most that was ever free is what they have.
                 self.kind_slots[kind] = float(round(free))
-                self.slots[:] = [self.slots_of(other) for other in self.kind_of]
+                self.slots[:] = [self.kind_slots.get(other, 1.0) for other in self.kind_of]
             used = max(0.0, self.slots[i] - free) + max(0.0, self.queue[i])
             self.busy[i] = 0.5 * (self.busy[i] + used)
             # The report is some way behind: compare it with what this dispatcher had there lately.
@@ -1082,7 +1084,8 @@
         self.kind_of[i] = entry.kind
         self.kind_runs.setdefault(entry.kind, [1000.0, 1000.0])
         self.state[i] = entry.state
-        self.slots[i] = self.slots_of(entry.kind)
+        # Not knowing the size means assuming little.
+        self.slots[i] = self.kind_slots.get(entry.kind, 1.0)
         size = entry.units if 0.0 < entry.units < 1e9 else 1.0
         if self.live:
             # Listed is the size, less the more is held: the most that a kind was listed with is its size.
@@ -1097,10 +1100,6 @@
         self.since[i] = entry.since
         return -1 if known else i
 
-    def slots_of(self, kind: str) -> float:
-        """What a worker of a kind runs at once; not knowing it means assuming the least that others do."""
-        return self.kind_slots.get(kind) or min(self.kind_slots.values(), default=1.0)
-
     def _new_worker(self, entry: face.Entry) -> int:
         i = len(self.name)
         self.index[entry.worker] = i
--- a/dunepulley/learned.py
+++ b/dunepulley/learned.py
@@ -88,7 +88,8 @@
         both = isinstance(runs, list) and len(runs) == 2 and all([_is_finite(run) for run in runs])
         if kind in module.kind_runs and both:
             module.kind_runs[kind][:] = runs
-    module.slots[:] = [module.slots_of(kind) for kind in module.kind_of]
+    for i, kind in enumerate(module.kind_of):
+        module.slots[i] = module.kind_slots.get(kind, module.slots[i])
     for name, category in module.categories.items():
         _put(category, OF_CATEGORIES, _numbers(told, "categories", name))
     _put(module, OF_ALL, _numbers(told, "all"))
