Lanes in the order of work before slots, so that wide short items are not among long ones

At fault: _lane, which sorted by slots first, so that the last lane held short items of four slots among items of two slots that run for seconds; none of its workers ever has four free.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -318,7 +318,7 @@
 
     def _lane(self, item: Item) -> int:
         """Which lane an item goes to: by the part of the recent work that is in smaller ones; -1 for any."""
-        size = (item.slots, item.work)
+        size = (item.work, item.slots)  # wide and short, it waits for all slots where all end soon
         self.seen_work.append((size, item.work * item.slots))
         if not self.lanes or len(self.seen_work) < 20:
             return -1
@@ -1132,7 +1132,7 @@
 
 
 # Among so many, a dispatcher hears of a worker less often than that changes, if less than once a second. Four
-# lanes part items of one slot that are short, middling and long, and those of several slots.
+# lanes part items that are short, middling, long, and several times as long.
 MANY, LANES = 8, 4
 # A turn to send a cold worker something: of so many spans one goes by unused.
 LONG = 4
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -51,13 +51,16 @@
     return sent[0].worker if sent else None
 
 
-def test_short_work_items_are_kept_apart_from_long_ones_alike_at_all_dispatchers():
+@pytest.mark.parametrize("slots", [(1.0, 1.0), (4.0, 2.0)])
+def test_short_work_items_are_kept_apart_from_long_ones_alike_at_all_dispatchers(slots):
     # Guards against short items that stand behind long ones: among many, nobody knows where a slot is free.
+    # Those of several slots wait for all of them, so they least of all may be among long ones.
     short, long = [], []
     for me in range(5):
         rig = fleet(me)
         for number in range(300):
-            worker = served(rig, f"a{number}", 40.0 if number % 2 else 400.0)
+            wide = slots[0] if number % 4 == 1 else slots[1] if number % 4 == 2 else 1.0
+            worker = served(rig, f"a{number}", 40.0 if number % 2 else 400.0, slots=wide)
             if number >= 100:
                 (short if number % 2 else long).append(worker)
     assert 8 <= len(set(short)) <= 60 / LANES and len(set(long)) >= 45
