--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -100,36 +100,48 @@
     assert not rig.brain.lanes
 
 
-def cold_sends(many, workers, spans, work, start=100000.0):
-    """What each of `many` dispatchers sends workers that start together, item by item: (worker, ms, work)."""
-    entries = [entry(k, since=start if k < workers else 0.0) for k in range(60)]
-    rigs = [fleet(me, many, entries, start) for me in range(many)]
-    sent = []
-    for number in range(5 * spans):
+def test_workers_that_return_cold_are_used_and_keep_the_budget_over_all_dispatchers():
+    # Guards against forty that each let their turn pass: what returns would stay cold, and the rest full.
+    cold = 24000.0
+    settings = fleet().settings
+    span, multiple = settings["rules.tipAfterMs"], settings["rules.fallMultiple"]
+    start = 100000.0
+    entries = [entry(k, since=start if k < 30 else 0.0) for k in range(60)]
+    rigs = [fleet(me, entries=entries, now=start) for me in range(40)]
+    sent = {}
+    for number in range(60):
         for me, rig in enumerate(rigs):
-            worker = served(rig, f"{me}-{number}", work(number + me), after=200.0)
-            if worker and int(worker[1:]) < workers:
-                sent.append((worker, rig.now - start, work(number + me)))
-    return sent, rigs[0].settings
-
-
-@pytest.mark.parametrize("work", [lambda k: 300.0, lambda k: 900.0 if k % 3 else 60.0])
-def test_cold_workers_are_used_and_no_span_goes_over_the_budget_of_all(work):
-    # Guards against forty that each let their turn pass, or can send short items only: what returns would
-    # stay idle, and the rest full. In any span, across turns, all together keep what the settings allow.
-    sent, settings = cold_sends(40, 30, 10, work)
-    span, least = settings["rules.tipAfterMs"], settings.get("rules.coldFrom", 0.1)
-    used = 0.0
-    for worker in {worker for worker, *_ in sent}:
-        told = [(at, load) for other, at, load in sent if other == worker]
-        used += sum(load for _, load in told)
+            rig.settings["rules.coldMs"] = cold
+            worker = served(rig, f"{me}-{number}", 300.0, after=100.0)
+            if worker and int(worker[1:]) < 30:
+                sent.setdefault(worker, []).append((rig.now - start, 300.0))
+    assert len(sent) == 30 and sum(map(len, sent.values())) > 60
+    least = settings.get("rules.coldFrom", 0.1)
+    for told in sent.values():
+        for at, _ in told:
+            able = least + (1.0 - least) * at / cold
+            within = sum(work for other, work in told if at <= other < at + span)
+            assert within <= multiple * able * span * 4.0
+
+
+def test_long_work_items_go_to_cold_workers_within_the_budget_of_all():
+    # Guards against turns that hold short items only: what returns would stay idle beside full queues.
+    entries = [entry(k, since=100000.0 if k < 30 else 0.0) for k in range(60)]
+    rigs = [fleet(me, entries=entries, now=100000.0) for me in range(40)]
+    settings, sent = rigs[0].settings, {}
+    for number in range(50):
+        for me, rig in enumerate(rigs):
+            load = 900.0 if (number + me) % 3 else 60.0
+            worker = served(rig, f"{me}-{number}", load, after=200.0)
+            if worker and int(worker[1:]) < 30:
+                sent.setdefault(worker, []).append((rig.now - 100000.0, load))
+    span, least = settings["rules.tipAfterMs"], settings["rules.coldFrom"]
+    for told in sent.values():
         for at, _ in told:
             able = least + (1.0 - least) * at / settings["rules.coldMs"]
             within = sum(load for other, load in told if at <= other < at + span)
             assert within <= settings["rules.fallMultiple"] * able * span * 4.0
-    assert len({worker for worker, *_ in sent}) == 30
-    assert used > 200_000.0
-    assert any(load == work(1) for *_, load in sent)
+    assert sum(load for told in sent.values() for _, load in told) > 200_000.0
 
 
 def test_a_kind_never_seen_with_slots_free_counts_as_the_least_of_the_others_in_the_cold_budget():
