Beliefs of cold workers kept apart from warm ones'; lanes from a process's fifth item on

Ruled out: capacity, and the cold budget (two fifths spent). At fault: _fade let what others hold at a worker fade to the mean of all, over one a slot where queues stand at the warm ones, so new workers were held to be full by everybody.

Room: one list of queues is passed in place of its sum and count. Two tests fail on the text before.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -226,7 +226,7 @@
         self.credit, self.further_success = 1.0, 0.5
         # Half the work where to move is the only way to look; else a twentieth: what is taken back may go on.
         self.further_part = 0.05 if self.can_probe and self.copies else 0.5
-        self.arrived, self.mean_work, self.came_each = 0, 500.0, 0.9
+        self.arrived, self.mean_work, self.came_each = 0, 500.0, 0.0
         # Start somewhere in the period, so that dispatchers started together don't steer in step.
         self._at(now + self.chance.part() * PERIOD, self._control)
         self._at(now, self._fade)
@@ -320,7 +320,7 @@
         """Which lane an item goes to: by the part of the recent work that is in smaller ones; -1 for any."""
         size = (item.work, item.slots)  # wide and short, it waits for all slots where all end soon
         self.seen_work.append((size, item.work * item.slots))
-        if not self.lanes or len(self.seen_work) < 20:
+        if not self.lanes or len(self.seen_work) < 5:
             return -1
         like = self.chance.part()  # a place among those of the same size
         before = sum([work * (like if other == size else other < size) for other, work in self.seen_work])
@@ -927,10 +927,13 @@
         # A large fleet is looked over less often, so that it costs what sixteen workers do.
         steps = max(1.0, len(ready) / 16.0)
         self._at(self.now + steps * FADE, self._fade)
-        slots = sum([self.slots[i] for i in ready])
-        mean = sum([self.others[i] for i in ready]) / slots if slots else 0.0
+        # The budget bounds what others have at a cold worker, whatever stands at the warm ones.
+        cold = {i for i in ready if self.lanes and self._cold_age(i) < self.cold}
+        means = []
+        for some in ([i for i in ready if i not in cold], cold):
+            means.append(sum([self.others[i] for i in some]) / (sum([self.slots[i] for i in some]) or 1.0))
         if self.held and not any(self.own) and all([self.now - self.heard[i] > 4000.0 for i in ready]):
-            mean = 0.0  # all were full once and nothing is out to bring news: items would be held for ever
+            means = [0.0, 0.0]  # all were full once, nothing is out to bring news: held for ever
         noted = self._noted()
         quick, slow = 1.0 - 0.75**steps, 1.0 - 0.9**steps
         # Not where dispatchers are more than workers: all would hear of the same free slot and crowd it. Nor
@@ -946,7 +949,7 @@
                 self.commands.append(face.Probe(self.name[i]))
             # Where the list tells what is held, what it does not tell anew has not changed.
             if not self.live and not noted and self.now - self.heard[i] > FADE:
-                self.others[i] += slow * (mean * self.slots[i] - self.others[i])
+                self.others[i] += slow * (means[i in cold] * self.slots[i] - self.others[i])
         self.freed = True
 
     def _saw_run(self, i: int, run: float, expected: float) -> None:
@@ -1015,9 +1018,7 @@
         now |= {i: min([self.turn_at[j] for j in lane]) for lane in self.lanes for i in lane}
         units = sum([self.units[i] for i in ready])
         queues = [self.queue[i] for i in ready if self.queue[i] >= 0.0]
-        sum_queues = sum(queues)
-        wanted = []
-        over = []
+        wanted, over = [], []
         for i, rate in zip(ready, rates, strict=True):
             usual = mean * self.units[i]
             # A stale rate decays to the usual, half in three periods; in lanes, that of the idle says little.
@@ -1025,7 +1026,7 @@
             sure *= min(1.0, self.busy[i] / self.slots[i]) if self.lanes else 1.0
             rate = usual + (rate - usual) * sure if rate >= 0.0 else usual
             wanted.append(max(0.0, rate) * (1.0 - min(0.9, self.trouble[i])))
-            over.append(self._over_limit(i, sum_queues, len(queues)))
+            over.append(self._over_limit(i, queues))
         total = sum(wanted) or 1.0
         for k, i in enumerate(ready):
             goal = wanted[k] / total * (0.9 if over[k] else 1.0)
@@ -1040,11 +1041,11 @@
             self.share[i] = share
             self.fulls[i] = 0
 
-    def _over_limit(self, i: int, total: float, count: int) -> bool:
+    def _over_limit(self, i: int, queues: list[float]) -> bool:
         if self.queue[i] < 0.0:
             return self.fulls[i] > 0
         # Twice the others' mean, and at least three jobs: below that a queue is chance.
-        others = (total - self.queue[i]) / (count - 1) if count > 1 else 0.0
+        others = (sum(queues) - self.queue[i]) / (len(queues) - 1) if len(queues) > 1 else 0.0
         return self.queue[i] > max(3.0, 2.0 * others)
 
     # ---------------------------------------------------------------- the list of workers
@@ -1124,8 +1125,7 @@
         self.rate[i] = self.queue[i] = -1.0
         self.heard[i] = self.now
         self.others[i] = self.busy[i] = self.own_mean[i] = self.wait_seen[i] = 0.0
-        self.run_seen[i] = self.run_due[i] = 0.0
-        self.linked[i] = self.part_until[i] = self.untold[i] = 0.0
+        self.run_seen[i] = self.run_due[i] = self.linked[i] = self.part_until[i] = self.untold[i] = 0.0
         self.trouble[i] = self.out_until[i] = self.out_step[i] = self.full_until[i] = 0.0
         self.last_report[i] = None
         self.sent_cold[i].clear()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -67,6 +67,24 @@
     assert sum(worker in short for worker in long) < 0.25 * len(long)
 
 
+def test_a_process_that_has_just_started_keeps_to_the_lanes_from_its_fifth_item_on():
+    # Guards against a release of two hundred: each new process would send its first items anywhere for 5 s.
+    rig = fleet()
+    for number in range(6):
+        rig.feed(Arrived(f"a{number}", "look", 5000.0, hint=100.0 + number), after=200.0)
+    assert [rig.brain.items[f"a{number}"].lane >= 0 for number in range(6)] == [False] * 4 + [True] * 2
+
+
+def test_cold_workers_are_not_held_to_be_as_full_as_the_warm_ones():
+    # Guards against new workers that stand idle in a release: beliefs fade to the mean of the others' queues.
+    entries = [entry(k, since=100000.0 if k < 30 else 0.0) for k in range(60)]
+    rig = fleet(entries=entries, now=100000.0)
+    rig.brain.others[30:] = [9.0] * 30
+    for _ in range(40):
+        rig.feed(after=250.0)
+    assert max(rig.brain.others[:30]) == 0.0 and min(rig.brain.others[30:]) > 8.0
+
+
 def test_in_lanes_no_work_item_goes_where_it_can_only_be_late():
     # Guards against work that is run for nothing while the fleet is short: taken back, it runs on.
     rig = fleet(entries=[entry(k, kind="slow" if k % 2 else "box") for k in range(60)])
