Measurements start, signal and end their processes in one place

bench/drain_fleet.py and bench/failover.py had the same lines; both use bench/processes.py now. A switch of the scripted dispatcher that no test used is out. Behaviour as before; tests/test_bench.py and a test with agents as processes pass.

--- a/bench/drain_fleet.py
+++ b/bench/drain_fleet.py
@@ -24,6 +24,7 @@
 
 import aiohttp
 
+from bench.processes import Processes
 from bench.standin import Clients, Workers
 from dunepulley.agent import wire
 from dunepulley.agent.instance import SilentError, call
@@ -38,18 +39,17 @@
 MOST_S = 120.0
 
 
-class Fleet:
+class Fleet(Processes):
     """The dispatchers and their agent, as processes."""
 
     def __init__(self, folder: Path, count: int, discovery: str) -> None:
-        self.folder = folder
+        super().__init__(folder)
         self.names = [f"n{number}" for number in range(count)]
         ports = free_ports(2 * count + 1)
         self.listen = {name: f"127.0.0.1:{ports[n]}" for n, name in enumerate(self.names)}
         self.console = {name: f"127.0.0.1:{ports[count + n]}" for n, name in enumerate(self.names)}
         self.agent = f"127.0.0.1:{ports[-1]}"
         self.discovery = discovery
-        self.processes: dict[str, asyncio.subprocess.Process] = {}
 
     def write(self, members: list[dict[str, Any]]) -> None:
         """The files of all of them."""
@@ -80,13 +80,7 @@
     async def start(self, name: str) -> None:
         """Start a dispatcher, or the agent."""
         what, file = ("agent", "agent.toml") if name == "agent" else ("serve", f"{name}.json")
-        with open(self.folder / f"{name}.log", "ab") as log:
-            self.processes[name] = await asyncio.create_subprocess_exec(
-                *[sys.executable, "-m", "dunepulley", what, "--config", file],
-                cwd=self.folder,
-                env=os.environ | {"PYTHONPATH": str(Path(__file__).parents[1])},
-                stderr=log,
-            )
+        await self.run(name, "dunepulley", what, "--config", file)
 
     async def serves(self, name: str) -> None:
         """Wait until a dispatcher serves."""
@@ -97,18 +91,6 @@
                         return
                 await asyncio.sleep(0.05)
 
-    def signal(self, name: str, number: int) -> None:
-        """Send a signal to one of our own processes."""
-        with contextlib.suppress(ProcessLookupError):
-            self.processes[name].send_signal(number)
-
-    async def close(self) -> None:
-        """End all that was started."""
-        for name in self.processes:
-            self.signal(name, signal.SIGCONT)
-            self.signal(name, signal.SIGKILL)
-        await asyncio.gather(*[process.wait() for process in self.processes.values()])
-
 
 async def ctl(fleet: Fleet, *words: str) -> tuple[int, dict[str, Any]]:
     """What an operator types: the exit code, and what the agent answered."""
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -18,7 +18,6 @@
 import contextlib
 import csv
 import json
-import os
 import random
 import signal
 import sys
@@ -31,6 +30,7 @@
 import aiohttp
 
 from bench.fleet import lines_of
+from bench.processes import Processes
 from dunepulley.agent import wire
 from dunepulley.agent.instance import SilentError, call
 from dunepulley.load.local import Catalog, catalog, free_ports, member
@@ -85,18 +85,18 @@
     how: str
 
 
-class Fleet:
+class Fleet(Processes):
     """All processes of one run."""
 
     def __init__(self, folder: Path, way: str, size: Size) -> None:
-        self.folder, self.way, self.size = folder, way, size
+        super().__init__(folder)
+        self.way, self.size = way, size
         self.names = {f"n{zone}{n}": zone for zone in ZONES for n in range(size.dispatchers)}
         ports = iter(free_ports(2 * len(self.names) + len(ZONES) * (size.workers + 1)))
         self.listen = {name: f"127.0.0.1:{next(ports)}" for name in self.names}
         self.console = {name: f"127.0.0.1:{next(ports)}" for name in self.names}
         self.agents = {zone: f"127.0.0.1:{next(ports)}" for zone in ZONES}
         self.workers = {zone: {f"w{zone}{n}": next(ports) for n in range(size.workers)} for zone in ZONES}
-        self.processes: dict[str, asyncio.subprocess.Process] = {}
 
     def members(self, zones: tuple[str, ...] = ZONES) -> list[dict[str, Any]]:
         """The workers of some zones in discovery's list."""
@@ -148,16 +148,6 @@
                 lines += ["[[fleet.member]]", f'name = "h{other}"', f'address = "{address}"']
             (self.folder / f"agent-{zone}.toml").write_text("\n".join(lines) + "\n")
 
-    async def start(self, name: str, *words: str) -> None:
-        """Start one process of ours."""
-        with open(self.folder / f"{name}.log", "ab") as log:
-            self.processes[name] = await asyncio.create_subprocess_exec(
-                *[sys.executable, "-m", *words],
-                cwd=self.folder,
-                env=os.environ | {"PYTHONPATH": str(Path(__file__).parents[1])},
-                stderr=log,
-            )
-
     async def start_site(self, zone: str, since_ms: float) -> None:
         """Start a zone's workers."""
         told = {
@@ -176,17 +166,17 @@
         }
         path = self.folder / f"site-{zone}.json"
         path.write_text(json.dumps(told))
-        await self.start(f"site-{zone}", "bench.site", str(path))
+        await self.run(f"site-{zone}", "bench.site", str(path))
 
     async def start_all(self) -> None:
         """Start everything and wait until it serves."""
         for zone in ZONES:
             await self.start_site(zone, 0.0)
         for name in self.names:
-            await self.start(name, "dunepulley", "serve", "--events", "--config", f"{name}.json")
+            await self.run(name, "dunepulley", "serve", "--events", "--config", f"{name}.json")
         for zone in ZONES if self.way == "common" else ():
             words = ("dunepulley", "agent", "--new-votes", "--config", f"agent-{zone}.toml")
-            await self.start(f"agent-{zone}", *words)
+            await self.run(f"agent-{zone}", *words)
         async with asyncio.timeout(PATIENCE_S):
             for name in self.names:
                 while True:
@@ -214,18 +204,6 @@
                 return await wire.ask(address, {"do": "zones"}, 2.0)
         return {}
 
-    def signal(self, name: str, number: int) -> None:
-        """Send a signal to one of our own processes."""
-        with contextlib.suppress(ProcessLookupError):
-            self.processes[name].send_signal(number)
-
-    async def close(self) -> None:
-        """End all that was started."""
-        for name in self.processes:
-            self.signal(name, signal.SIGCONT)
-            self.signal(name, signal.SIGKILL)
-        await asyncio.gather(*[process.wait() for process in self.processes.values()])
-
     def lines(self, zone: str) -> list[list[str]]:
         """What a zone's workers recorded."""
         path = self.folder / f"{zone}.record"
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -513,7 +513,6 @@
         self.plan = None
         self.until = 0.0
         self.numbers = {}
-        self.stopped = False
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self._call, "127.0.0.1", 0)
@@ -525,9 +524,6 @@
 
     async def _call(self, reader, writer):
         word, _, rest = (await reader.readline()).decode().strip().partition(" ")
-        if self.stopped:
-            writer.close()
-            return
         said = {"name": self.name, "pid": os.getpid(), "version": "x", "leaving": "", "drains": [1e14, 1]}
         if word == "PLAN":
             told = json.loads(rest)
