One gate before the first byte of every hand-off; one copy means heard before the next

Cause: workers.py, `_delete`: after two calls of half a second that nobody answered the hand-off was told as over, and the module sent another beside it. Ruled out: the module's own gate, which has always refused a second one while one is out; a library that sends twice (retries are off).

Change: where the settings allow one copy, a hand-off is over once the worker has heard (a connection may take 1.5 s to come up), or is told as `UNHEARD`, after which nothing goes out for the item: it is answered at once. A connection that breaks before the 202 is followed by a DELETE there, as the 202 may have been lost with it. A callback that may be an earlier hand-off's ends the present one as UNHEARD.

The gate: between a decision and the first byte a connection may take its time to come up. Whether the client is there, the worker takes work at that address, the time and the window for repeats are open is asked in one place, `Core.may_begin`, where the library hands over head and body, after which nothing else runs before the first byte. What is refused has surely not run (NOT_SENT). `HandOff.begin` tells the end of the window.

A take-back that is under way is not begun again. What a doubtful callback ends as is UNHEARD in place of CUT, for "failed" and "lost", too.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -284,8 +284,7 @@
         item.lane = self._lane(item)
         self.mean_work += 0.02 * (item.work * item.slots - self.mean_work)
         item.expiry = self.now + event.budget
-        # What a repeat's budget lacks of a first try's is what earlier tries have taken of it. The expiry
-        # won't do: each try may have a part of it. Nor is every short budget a repeat's: some are impatient.
+        # What a repeat's budget lacks of a first try's, earlier tries took; but some clients are impatient.
         arrived = self.now
         if not event.repeat:
             # The longest of late; where repeats are not marked, ten short ones in a row are none any more.
@@ -389,8 +388,7 @@
         if event.over and not item.over:
             self._close(item, event.result == face.FINISHED)
         elif event.result == face.UNFIT and not item.over:
-            # No worker can use it, and the client that sent it need not come again with the same.
-            self.commands.append(face.WriteOff(item.wi))
+            self.commands.append(face.WriteOff(item.wi))  # no worker can use it, nor need it come again
             self._close(item)
         if item.over:
             if item.out == 0:
@@ -417,8 +415,7 @@
                 return
             i = self._in_turn(item)
             if i < 0:
-                # No slot is known to be free: a short queue will do. Where none is told, short can't be told
-                # from long: hold. The estimate itself is off by what one slot more or less makes.
+                # No slot is known to be free: a queue will do that is told to be short, give or take a slot.
                 error = 0.25 * self.mean_work
                 if self.now >= item.latest:
                     i = self._least_wait(item, error + item.due - self.now - 0.5 * item.work)
@@ -427,10 +424,7 @@
             if i < 0 and self.now < item.latest:
                 yield HOLD, item.latest
                 continue
-            if i < 0:
-                yield GIVE_UP, 0
-                return
-            said = yield HAND_OFF, i
+            said = (yield HAND_OFF, i) if i >= 0 else BARRED
             if said is BARRED:
                 yield GIVE_UP, 0
                 return
@@ -491,9 +485,8 @@
 
     def _grace(self, tried: Tried) -> float:
         """How long a hand-off to a free worker may take to begin, the connection and the way included."""
-        # Not seen yet: as long as the settings let a connection take.
         usual = self.start_ms.get(tried.path, self.settings.get("policyLimits.connectTimeoutMs", 100.0))
-        # The quickest is what was seen: half as much again, and 20 ms, for jitter and the worker's own delay.
+        # The quickest that was seen: half as much again, and 20 ms, for jitter and the worker's own delay.
         return 20.0 + 1.5 * usual
 
     def _too_late(self, item: Item) -> bool:
@@ -534,29 +527,31 @@
 
     def _gate(self, item: Item, i: int) -> bool:
         """The four rules, asked before every hand-off."""
-        if item.over or len(item.tried) >= self.most or self.now >= item.expiry:
-            return False
-        if self.state[i] != face.READY or (item.out and not self.copies):
+        ended = item.over or len(item.tried) >= self.most or self.now >= item.expiry
+        if ended or self.state[i] != face.READY or (item.out and not self.copies):
             return False
         return self._may_repeat_at(item, i) and self._cold_room(item, i)
 
     def _may_repeat_at(self, item: Item, i: int) -> bool:
         """Whether a hand-off to this worker cannot make an effect happen twice."""
         category = item.category
-        if category.effect == face.RERUNNABLE or not item.tried:
+        if not self.copies and any([tried.result == face.UNHEARD for tried in item.tried]):
+            return False  # one may be running yet
+        ran = [tried.worker for tried in item.tried if tried.result not in face.NEVER_RAN]
+        if category.effect == face.RERUNNABLE or not ran:
             return True
-        for tried in item.tried:
-            if tried.result in face.NEVER_RAN:
-                continue
-            if category.effect != face.TICKETED:
-                return False
-            # The hand-off takes a while to arrive: keep a tenth of the window clear.
-            if self.now - tried.sent > category.window * 0.9:
-                return False
-            group = {"zone": self.zone_of, "cell": self.cell_of}.get(category.group)
-            if group and group[i] != group[tried.worker]:
-                return False
-        return True
+        if category.effect != face.TICKETED or self.now > self._window_end(item):
+            return False
+        group = {"zone": self.zone_of, "cell": self.cell_of}.get(category.group)
+        return not group or all([group[i] == group[worker] for worker in ran])
+
+    def _window_end(self, item: Item) -> float:
+        """Until when a ticketed work item's hand-offs that may have run are surely remembered."""
+        if item.category.effect != face.TICKETED:
+            return NEVER
+        # The hand-off takes a while to arrive: keep a tenth of the window clear.
+        sent = [tried.sent for tried in item.tried if tried.result not in face.NEVER_RAN]
+        return min(sent, default=NEVER) + 0.9 * item.category.window
 
     def _harmless(self, item: Item) -> bool:
         """Whether the client may try again without making an effect happen twice."""
@@ -573,9 +568,8 @@
         if self._harmless(item):
             # Long enough for a slot to come free; clients that heed it don't crowd a full fleet.
             advised = bool(self.settings.get("policyLimits.retryAfter", False))
-            longest = self.settings.get("policyLimits.maxRetryAfterMs", 0.0)
-            wait = min(longest, category.mean_run()) if advised else 0.0
-            self.commands.append(face.Defer(item.wi, wait))
+            longest = self.settings.get("policyLimits.maxRetryAfterMs", 0.0) if advised else 0.0
+            self.commands.append(face.Defer(item.wi, min(longest, category.mean_run())))
         else:
             self.commands.append(face.WriteOff(item.wi))
         self._close(item)
@@ -598,6 +592,8 @@
     def _hand_off(self, item: Item, i: int) -> None:
         if item.tried:
             self.credit -= self._cost(item)
+        # A connection that comes up late must not carry a repeat beyond its window.
+        begin = min(item.expiry, self._window_end(item)) - self.now
         # One that ended there within the idle time has left its connection.
         path = (self.zone_of[i], self.now < self.linked[i])
         self.linked[i] = 0.0
@@ -609,7 +605,7 @@
         self._out_changed()
         if self._cold_age(i) < self.cold:
             self.sent_cold[i].append((self.now, self._load_of(item, i)))
-        self.commands.append(face.HandOff(item.wi, self.name[i], item.expiry - self.now))
+        self.commands.append(face.HandOff(item.wi, self.name[i], item.expiry - self.now, begin))
 
     def _cold_age(self, i: int) -> float:
         return self.now - self.since[i] if self.since[i] > 0.0 else NEVER
@@ -643,13 +639,12 @@
         slots = max(self.slots[i], min(self.kind_slots.values(), default=1.0))
         most = self.settings.get("rules.fallMultiple", 1.0) * able * slots * span
         even = most / self.dispatchers
-        # The least that is of use: an item of the shortest category, by the guess made before any is seen.
+        # The least of use: an item of the shortest category, by the guess made before any is seen.
         part = min([category.expiry for category in self.categories.values()], default=1000.0) / 8
         if even >= 0.5 * part:
             return even
-        # Among many nobody's even part would hold an item. So a few at a time share it, then others, all
-        # counting alike. A turn lasts long, and in its first span nobody sends, so that no span holds two.
-        # Not in step with workers that start together. A fifth is left for chance.
+        # Among many nobody's even part would hold an item: a few at a time share it. In a turn's first span
+        # nobody sends, so that no span holds two turns' items. A fifth is left for chance.
         spans = int(age / span) + int(self.common[i] * 7919.0) % LONG
         if spans % LONG == 0:
             return 0.0
@@ -790,8 +785,7 @@
         self.used = sorted(well[:most] + [i for i in well[most:] if self._cold_age(i) < self.cold])
         used = set(self.used)
         self.spare = [i for _, i in order if i not in used]
-        # Many dispatchers, no notes, few work items each: news of a worker is older than what it runs. So
-        # parts of the workers, alike for all dispatchers, take parts of the work, by its size.
+        # Many dispatchers, no notes, few items each: parts of the workers take parts of the work, by size.
         thin = self.dispatchers > MANY and not self.relays and self.came_each < 1.0
         # Ten workers at least, so that turns decide. Sick ones count: the others don't know of it.
         count = LANES if thin and len(order) >= 10 * LANES else 0
@@ -836,9 +830,8 @@
                 self.slots[:] = [self.kind_slots.get(other, 1.0) for other in self.kind_of]
             used = max(0.0, self.slots[i] - free) + max(0.0, self.queue[i])
             self.busy[i] = 0.5 * (self.busy[i] + used)
-            # The report is some way behind: compare it with what this dispatcher had there lately.
-            # A single look tells little: three tenths of it count, more where the last is over 2 s old, as
-            # that has faded. Where it was asked for, nothing of ours was there to blur it: seven tenths.
+            # It is some way behind: compare it with what was out there lately. A single look tells little:
+            # three tenths count, more where the last is over 2 s old; seven tenths where it was asked for.
             least = 0.7 if self.asked_at[i] > self.heard[i] else 0.3
             weight = max(least, 1.0 - 0.5 ** ((self.now - self.heard[i]) / 4000.0))
             if self._noted():
@@ -910,7 +903,7 @@
             if self.now - when > SILENT:
                 self._on_told(face.Told(number, False, ()))
                 del self.out_of[number]
-        # Begin further on each time, and tell that first one though it has not changed, as notes may be lost.
+        # Begin further on each time, and tell the first though it has not changed, as notes may be lost.
         sums = [(short, min(255, held)) for short, held in self.sums.items()]
         start = self.next_told % max(1, len(sums))
         sums = sums[start:] + sums[:start]
@@ -936,8 +929,7 @@
             means = [0.0, 0.0]  # all were full once, nothing is out to bring news: held for ever
         noted = self._noted()
         quick, slow = 1.0 - 0.75**steps, 1.0 - 0.9**steps
-        # Not where dispatchers are more than workers: all would hear of the same free slot and crowd it. Nor
-        # where news is thin: each would ask all, and what a report tells is gone by the next hand-off.
+        # Not where dispatchers are more than workers: all would crowd the same slot. Nor where news is thin.
         asks = self.asks_left_out and self.dispatchers <= len(ready) and not self.lanes
         for i in ready:
             self.own_mean[i] += quick * (self.own[i] - self.own_mean[i])
@@ -945,18 +937,21 @@
             full = asks and not self.own[i] and self.others[i] > self.slots[i] - 1.0
             if full and self.now - max(self.heard[i], self.asked_at[i]) > 1000.0:
                 # Held to be full, it gets nothing, so no answer says otherwise: ask, now and then.
-                self.asked_at[i] = self.now
-                self.commands.append(face.Probe(self.name[i]))
+                self._ask(i)
             # Where the list tells what is held, what it does not tell anew has not changed.
             if not self.live and not noted and self.now - self.heard[i] > FADE:
                 self.others[i] += slow * (means[i in cold] * self.slots[i] - self.others[i])
         self.freed = True
 
+    def _ask(self, i: int) -> None:
+        self.asked_at[i] = self.now
+        self.commands.append(face.Probe(self.name[i]))
+
     def _saw_run(self, i: int, run: float, expected: float) -> None:
         """Count a running time against what was expected; about the last ten count, and fifty of a kind."""
         kind = self.kind_runs[self.kind_of[i]]
         if not self.run_due[i]:
-            # Begin with a second as its kind runs it, so that the first running time does not decide alone.
+            # Begin with a second as its kind runs it: the first running time does not decide alone.
             self.run_seen[i], self.run_due[i] = 1000.0 * kind[0] / kind[1], 1000.0
         self.run_seen[i] = self.run_seen[i] * 0.9 + run
         self.run_due[i] = self.run_due[i] * 0.9 + expected
@@ -1131,8 +1126,7 @@
         self.sent_cold[i].clear()
 
 
-# Among so many, a dispatcher hears of a worker less often than that changes, if less than once a second. Four
-# lanes part items that are short, middling, long, and several times as long.
+# Among so many, news is thin; lanes part items that are short, middling, long, and several times as long.
 MANY, LANES = 8, 4
 # A turn to send a cold worker something: of so many spans one goes by unused.
 LONG = 4
@@ -1142,10 +1136,9 @@
 PERIOD = 2000.0
 # So many sum up what all have out.
 RELAYS = 3
-# Notes wait this long for more to go with them, and sums go out as often: as soon as price and CPU bear.
-# Who is silent for so long is gone, or has nothing out.
+# Notes wait for more to go with them, sums have turns, and who is silent for so long is gone.
 NOTE, TURN, SILENT = 60.0, 160.0, 4000.0
-# Two homes at a time, so that turns decide between them; and two more than a key's part, for a busy spell.
+# Two at a time, so that turns decide between them; and two more than a key's part, for a busy spell.
 HOMES = 2
 # Often enough to fade within a report's usual age of a second or two, seldom enough to cost nothing.
 FADE = 250.0
--- a/dunepulley/interface.py
+++ b/dunepulley/interface.py
@@ -21,6 +21,8 @@
 # The worker could not read it, and no other will: of the worker's health that says nothing either.
 UNFIT = "unfit"
 TAKEN_BACK = "taken back"
+# It was given up, or its connection broke, and the worker could not be told: it may be running yet.
+UNHEARD = "unheard"
 NOT_SENT = "not sent"
 NEVER_RAN = frozenset((FULL, NOT_CONNECTED, NOT_SENT))
 
@@ -140,11 +142,12 @@
 
 
 class HandOff(NamedTuple):
-    """Send a work item to a worker, for at most `limit` ms."""
+    """Send a work item to a worker, for at most `limit` ms, the first byte within `begin` ms or never."""
 
     wi: str
     worker: str
     limit: float
+    begin: float = float("inf")
 
 
 class TakeBack(NamedTuple):
--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -68,24 +68,35 @@
 
 
 class Ho:
-    """One hand-off on its way.
+    """One hand-off on its way, which begins before the moment `begin` or not at all.
 
     `kept` if it went over a connection that was at hand, `touched` once writing has begun, `written` once
     its last byte has left, `answered` once the worker has answered, `heard` once it has told of it,
-    `stopped` once it is given up.
+    `stopped` once it is given up, `barred` if it was too late for its first byte.
     """
 
-    __slots__ = ("job", "number", "worker", "address", "limit", "sent")
-    __slots__ += ("kept", "touched", "written", "answered", "heard", "stopped", "result", "timer")
+    __slots__ = ("job", "number", "worker", "address", "limit", "sent", "begin")
+    __slots__ += ("kept", "touched", "written", "answered", "heard", "stopped", "barred", "result", "timer")
 
-    def __init__(self, job: Job, number: int, worker: str, address: str, limit: float, sent: float) -> None:
+    def __init__(
+        self,
+        job: Job,
+        number: int,
+        worker: str,
+        address: str,
+        limit: float,
+        sent: float,
+        begin: float = NEVER,
+    ) -> None:
         self.job = job
         self.number = number
         self.worker = worker
         self.address = address
         self.limit = limit
         self.sent = sent
-        self.kept = self.touched = self.written = self.answered = self.heard = self.stopped = False
+        self.begin = begin
+        self.kept = self.touched = self.written = self.answered = self.heard = False
+        self.stopped = self.barred = False
         self.result = ""
         self.timer: asyncio.TimerHandle | None = None
 
@@ -365,15 +376,12 @@
             self.events.append(face.Began(message.wi, ho.number, message.share))
         elif state == "done":
             self._end(ho, face.FINISHED, message.report, message.result)
-        elif state == "failed":
-            self._end(ho, face.ERRED, message.report)
-        elif state == "returned":
-            # An earlier hand-off to the same worker that ended without its word may be the one handed back:
+        else:
+            # An earlier hand-off to the same worker that ended without its word may be the one that is meant:
             # then this one may run yet.
             doubt = any(other.result not in face.NEVER_RAN for other in hos[:-1])
-            self._end(ho, face.CUT if doubt else face.FULL, message.report)
-        else:
-            self._end(ho, face.CUT, message.report)
+            result = {"failed": face.ERRED, "returned": face.FULL}.get(state, face.CUT)
+            self._end(ho, face.UNHEARD if doubt else result, message.report)
 
     def _read_listed(self, message: Listed) -> None:
         self.revision = message.revision
@@ -577,7 +585,8 @@
         if item is None:
             raise LookupError(f"a hand-off of {command.wi}, which is not open")
         address = self.addresses.get(command.worker, "")
-        ho = Ho(item.job, len(item.hos), command.worker, address, command.limit, self.now)
+        begin = self.now + min(command.limit, command.begin)
+        ho = Ho(item.job, len(item.hos), command.worker, address, command.limit, self.now, begin)
         out_there = any(other.worker == ho.worker and not other.result for other in item.hos)
         item.hos.append(ho)
         item.out += 1
@@ -589,10 +598,20 @@
         ho.timer = asyncio.get_running_loop().call_later(max(0.0, command.limit / 1000.0), self._time_up, ho)
         self.hands.hand_off(ho)
 
+    def may_begin(self, ho: Ho) -> bool:
+        """Whether a hand-off may still begin: asked directly before the first byte of each.
+
+        Guards against all that changes after the decision, while a connection comes up or is waited for: the
+        client goes, the worker is to drain or starts anew elsewhere, a time or a window for repeats is over.
+        """
+        waits = not ho.stopped and not ho.job.answer.done()
+        takes = ho.worker in self.ready and self.addresses.get(ho.worker) == ho.address
+        return waits and takes and self.clock() < ho.begin
+
     def _write_take_back(self, command: face.TakeBack) -> None:
         item = self.open.get(command.wi)
         ho = item.hos[command.ho] if item else None
-        if ho is None or ho.result:
+        if ho is None or ho.result or ho.stopped:
             return
         self.counters["ho taken back"] += 1
         self._give_up(ho, True)
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -58,7 +58,9 @@
         sockets = min(start.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.counters = Counters()
         self.core = Core(start.seed, start.settings, start.known, self.counters)
-        self.workers = Workers(start.settings, sockets, self.core.put, self.counters)
+        self.workers = Workers(
+            start.settings, sockets, self.core.put, self.counters, self.core.may_begin
+        )
         self.core.hands = self.workers
         if start.events:
             self.core.tells = Events(start.name, self.core.now)
--- a/dunepulley/net/workers.py
+++ b/dunepulley/net/workers.py
@@ -29,6 +29,11 @@
 # Ten times the longest way there and back: a worker that leaves a DELETE or a probe unanswered for this long
 # is down or cut off.
 SILENT_S = 1.0
+# Where there may be no second copy, a worker whose connections come up late is waited for: up to 1.5 s late,
+# after a kept connection that was silent. One that breaks connections is asked again each tenth of a second.
+HEARD_S, AGAIN_S = 2.2, 0.1
+# Bounded where it is used.
+UNHURRIED = aiohttp.ClientTimeout()
 # A worker answers a hand-off when it has taken it, not when it has run it. Where neither that nor a callback
 # has come after this, the connection has fallen silent: waiting on would cost the work item its time.
 UNANSWERED_S = 0.5
@@ -55,16 +60,19 @@
     A connection that breaks in between proves that the hand-off never ran.
     """
 
-    def __init__(self, ho: Ho, counters: Counters) -> None:
+    def __init__(self, ho: Ho, counters: Counters, may_begin: Callable[[Ho], bool]) -> None:
         super().__init__(ho.job.body)
         self.ho = ho
         self.counters = counters
+        self.may_begin = may_begin
 
     async def write_with_length(self, writer: Any, content_length: int | None) -> None:
-        if self.ho.stopped:
-            # The library writes in a task of its own, which may run after the hand-off was given up and
-            # told as never sent.
-            raise ConnectionAbortedError("given up before it was written")
+        # The library keeps the head back until the body comes, and writes in a task of its own: nothing has
+        # left yet, and from here to the first byte nothing else runs.
+        if self.ho.stopped or not self.may_begin(self.ho):
+            self.ho.barred = True
+            self.counters["ho barred"] += 1
+            raise ConnectionAbortedError("it may not begin any more")
         transport = writer.transport
         if transport is not None:
             # So that drain() waits for the last byte, not for room.
@@ -83,9 +91,16 @@
     """Carries hand-offs to workers."""
 
     def __init__(
-        self, settings: dict[str, Any], sockets: int, put: Callable[[Any], None], counters: Counters
+        self,
+        settings: dict[str, Any],
+        sockets: int,
+        put: Callable[[Any], None],
+        counters: Counters,
+        may_begin: Callable[[Ho], bool] = lambda ho: True,
     ) -> None:
         self.put = put
+        self.may_begin = may_begin
+        self.copies = bool(settings.get("policyLimits.secondCopies", False))
         self.counters = counters
         # Whether an exchange went over a kept connection: what breaks it says less then.
         trace = aiohttp.TraceConfig()
@@ -179,7 +194,7 @@
             )
             async with self.session.post(
                 url,
-                data=Body(ho, self.counters),
+                data=Body(ho, self.counters, self.may_begin),
                 headers=headers,
                 allow_redirects=False,
                 timeout=limit,
@@ -204,8 +219,13 @@
             return
         except (aiohttp.ClientError, OSError) as problem:
             result = self._meaning(ho, problem)
-            if result is face.NOT_SENT and not ho.kept:
+            if lacks_descriptor(problem):
                 await asyncio.sleep(LACKING_S)
+            if result in (face.CUT, face.DROPPED) and not accepted and not self.copies:
+                # Its 202 may have been lost with the connection: where there may be no second copy, the
+                # worker is told before the item goes anywhere else.
+                await self._delete(ho, result)
+                return
         if not accepted:
             self.put(Over(ho, result, report))
 
@@ -215,6 +235,8 @@
             self.counters["no descriptor"] += 1
             log.say("sockets", "no descriptor left for a connection to a worker")
             return face.NOT_SENT
+        if ho.barred:
+            return face.NOT_SENT
         if isinstance(problem, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError):
             return face.NOT_CONNECTED
         # Broken before the last byte was written it cannot have run, after that it may have. Under a kept
@@ -236,23 +258,36 @@
             self._start(("delete", ho), self._delete(ho))
 
     async def _delete(self, ho: Ho, result: str = face.TAKEN_BACK) -> None:
+        """Tell the worker that a hand-off is given up, and then the module how it ended.
+
+        Where there may be no second copy, one that the worker did not hear of is told as `UNHEARD`.
+        """
         url = url_of(ho.address, f"/jobs/{ho.job.arrived.wi}")
+        loop, heard, tries = asyncio.get_running_loop(), False, 0
+        end = loop.time() + (SILENT_S if self.copies else HEARD_S)
         try:
-            # Twice, as a kept connection may break or be silent under it: unheard, what was taken back would
-            # run on beside the hand-off that takes its place. After that nobody is there to be told.
-            for _ in range(2):
+            # Again, as a kept connection may break or be silent under it: unheard, what was taken back would
+            # run on beside the hand-off that takes its place.
+            while not heard and loop.time() < end and (tries < 2 or not self.copies):
+                left = end - loop.time() if tries else SILENT_S / 2
+                tries += 1
                 try:
                     async with (
-                        asyncio.timeout(SILENT_S / 2),
-                        self.session.delete(url, allow_redirects=False) as answer,
+                        asyncio.timeout(left),
+                        self.session.delete(url, allow_redirects=False, timeout=UNHURRIED) as answer,
                     ):
                         await answer.read()
                         self.counters[f"delete {answer.status}"] += 1
-                        return
-                except (aiohttp.ClientError, OSError):
+                        heard = True
+                except (aiohttp.ClientError, OSError) as problem:
                     self.counters["delete unheard"] += 1
+                    # Who broke the connection and now takes none has ended, and all that it ran with it.
+                    refused = getattr(problem, "errno", None) == errno.ECONNREFUSED
+                    heard = refused and result is not face.TAKEN_BACK
+                    if not self.copies:
+                        await asyncio.sleep(AGAIN_S)
         finally:
-            self.put(Over(ho, result))
+            self.put(Over(ho, result if heard or self.copies else face.UNHEARD))
 
     # ---------------------------------------------------------------- probes
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -18,6 +18,7 @@
     NOT_SENT,
     TAKEN_BACK,
     UNFIT,
+    UNHEARD,
     Alarm,
     Arrived,
     Began,
@@ -358,6 +359,35 @@
     assert (rig.brain.out_until[rig.brain.index[sent.worker]] > rig.now) is sick
 
 
+@pytest.mark.parametrize("copies", [True, False])
+@pytest.mark.parametrize(("category", "given_up"), [("look", Defer), ("store", WriteOff)])
+def test_where_there_is_one_copy_nothing_goes_out_beside_one_that_may_run(copies, category, given_up):
+    # A worker that did not hear that it is to stop may be running it yet: answered at once, not held.
+    rig = Rig(policyLimits__secondCopies=copies)
+    (sent,) = of(HandOff, rig.feed(Arrived("a", category, 4000.0)))
+    commands = rig.feed(Ended("a", 0, UNHEARD, sent.worker, 1.0), after=1.0)
+    assert len(of(HandOff, commands)) == copies and len(of(given_up, commands)) == 1 - copies
+
+
+@pytest.mark.parametrize(
+    ("category", "first", "begin"),
+    [
+        ("look", CUT, 3900.0),  # up to the expiry
+        ("store", CUT, 2600.0),  # nine tenths of the window of 3000, of which 100 are gone
+        ("store", DROPPED, 2600.0),
+        ("store", NOT_SENT, 3900.0),
+        ("pay", NOT_SENT, 3900.0),
+    ],
+)
+def test_a_repeat_begins_within_the_window_or_never(category, first, begin):
+    # Guards against a connection that comes up late and carries a repeat beyond what a worker remembers.
+    rig = Rig()
+    (sent,) = of(HandOff, rig.feed(Arrived("a", category, 4000.0)))
+    assert sent.begin == 4000.0
+    (again,) = of(HandOff, rig.feed(Ended("a", 0, first, sent.worker, 1.0), after=100.0))
+    assert again.begin == pytest.approx(begin)
+
+
 def test_what_no_worker_can_read_is_written_off_at_once_and_makes_none_sick():
     rig = Rig()
     for number in range(8):
