Where reports come by probes alone, work items pay for them

Cause: the settings say that load reports come by probes (`reporting.how` is "probe"), and the module asked for one only where reports come with answers (`asks_left_out`). It never heard of a slot, took each worker for one that runs one item at a time, and the design's shares had no rate to follow.

So what all dispatchers ask follows the work that all have. Nothing changes where reports come with answers.

--- a/dunepulley/brain.py
+++ b/dunepulley/brain.py
@@ -161,6 +161,10 @@
         self.can_probe = bool(say("policyLimits.probing", False))
         self.marks_repeats = bool(say("clients.marksRetry", False))
         self.asks_left_out = self.can_probe and say("reporting.how", "none") == "answers"
+        # Where reports come by probes alone, an item pays a part of one: five in a thousand of its worth.
+        by_probe = self.can_probe and say("reporting.how", "none") == "probe"
+        self.ask_part = by_probe * 0.005 / max(0.005, say("prices.probe", 0.0))
+        self.asks = 6.0 * by_probe  # at the start, so that most kinds are known soon
         self.lanes: list[list[int]] = []
         self.seen_work: deque = deque(maxlen=300)
         self.beat = say("familyInfo.progressMs", 0.0)
@@ -311,6 +315,11 @@
                 self.seen_keys *= 0.5
                 self.seen_key = {key: 0.5 * seen for key, seen in self.seen_key.items() if seen > 0.5}
                 self.homes.clear()
+        self.asks += self.ask_part
+        if self.asks >= 1.0 and (ready := self._ready()):
+            # Who was heard of, or asked, the longest ago; each dispatcher begins with others.
+            self.asks -= 1.0
+            self._ask(min(ready, key=lambda i: (max(self.heard[i], self.asked_at[i]), self.rank[i])))
         self.items[event.wi] = item
         item.course = self._course(item)
         self._drive(item, None)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -388,6 +388,29 @@
     assert again.begin == pytest.approx(begin)
 
 
+def test_where_reports_come_by_probes_alone_workers_are_asked():
+    # Else no slot of theirs is known, and each is taken for a worker that runs one item at a time.
+    told = {"x0": 4.0, "queue": 0.0}
+    rig = Rig(reporting__how="probe", policyLimits__probing=True, prices__probe=0.01)
+    asked, sent = [], []
+    for number in range(40):
+        for command in rig.feed(Arrived(str(number), "look", 4000.0, hint=100.0), after=20.0):
+            if isinstance(command, Probe):
+                asked.append(command.worker)
+                rig.feed(Probed(command.worker, FINISHED, 1.0, told))
+            elif isinstance(command, HandOff):
+                sent.append(command.worker)
+    # Six at the start, one for each two items then, and each worker as often as the others.
+    assert 25 <= len(asked) <= 26 and {asked.count(f"w{number}") for number in range(4)} <= {6, 7}
+    assert len(sent) >= 12, "most of sixteen slots; unasked it is one each"
+
+
+@pytest.mark.parametrize(("how", "probing"), [("probe", False), ("answers", True), ("none", True)])
+def test_elsewhere_an_item_asks_nobody(how, probing):
+    rig = Rig(reporting__how=how, policyLimits__probing=probing)
+    assert not [1 for n in range(9) for _ in of(Probe, rig.feed(Arrived(str(n), "look", 4000.0)))]
+
+
 def test_what_no_worker_can_read_is_written_off_at_once_and_makes_none_sick():
     rig = Rig()
     for number in range(8):
