--- a/dunepulley/net/discovery.py
+++ b/dunepulley/net/discovery.py
@@ -42,6 +42,7 @@
         self.tell: Callable[[str], None] = lambda text: None
         self.heard = False  # whether the present watch has brought a whole line
         self.first = asyncio.Event()  # once any watch has
+        self.current = 0.0  # when discovery last showed that the list in hand is current, or was called
 
     async def run(self) -> None:
         """Watch for ever."""
@@ -52,8 +53,10 @@
         async with aiohttp.ClientSession(
             connector=connector, timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), trust_env=False
         ) as session:
+            clock = asyncio.get_running_loop().time
             while True:
                 self.heard = False
+                self.current = clock()
                 self.counters["discovery calls"] += 1
                 self.tell(f"list-call {self.revision}")
                 end = watching.CUT
@@ -73,7 +76,7 @@
                     self.revision = 0
                     log.say("discovery", f"what came is no list: {problem}")
                 self.counters["discovery watches ended"] += 1
-                await asyncio.sleep(self.patience.wait(end, self.heard))
+                await asyncio.sleep(self.patience.wait(end, self.heard, clock() - self.current))
 
     async def _watch(self, session: aiohttp.ClientSession) -> None:
         """One watch from its call to its end."""
@@ -85,8 +88,11 @@
                 raise RefusedError(f"discovery answered {answer.status}")
             if answer.status != 200:
                 raise ValueError(f"discovery answered {answer.status}")
+            clock = asyncio.get_running_loop().time
+            self.current = clock()
             rest = b""
             async for chunk in answer.content.iter_any():
+                self.current = clock()
                 *lines, rest = (rest + chunk).split(b"\n")
                 if len(rest) > LINE_LIMIT:
                     raise ValueError("a line without end")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -250,6 +250,50 @@
         watching.SILENCE_S = usual
 
 
+class Asked(Patience):
+    """Notes what it is asked, and has the next call go out at once."""
+
+    def __init__(self):
+        super().__init__(Random(1))
+        self.asked = []
+
+    def wait(self, end, heard, passed=0.0):
+        self.asked.append((end, heard, passed))
+        return 0.0
+
+
+@pytest.mark.parametrize(
+    ("says", "end", "heard", "least"),
+    [
+        ([], watching.CUT, False, 0.1),  # a call that is not answered
+        ([STREAM], watching.CUT, False, 0.15),  # nor a line after the head
+        ([STREAM + chunk(line_of(5))], watching.CUT, True, 0.15),
+        (CUT, watching.CUT, False, 0.0),
+        (answer(503), watching.REFUSED, False, 0.0),
+    ],
+)
+@on_loop
+async def test_the_backoff_is_told_how_old_the_list_is(monkeypatch, says, end, heard, least):
+    # What has passed since the list was current is part of the bound on how long an old one is acted on.
+    monkeypatch.setattr(watching, "ANSWER_S", 0.1)
+    monkeypatch.setattr(watching, "SILENCE_S", 0.15)
+
+    async def stream():
+        for part in says:
+            yield part
+        await asyncio.Event().wait()
+
+    patience = Asked()
+    async with Peer(lambda call: stream() if isinstance(says, list) else says) as peer:
+        watch = discovery.Discovery(peer.address, 3, lambda news: None, Counters(), patience)
+        task = asyncio.create_task(watch.run())
+        await until(lambda: len(patience.asked) >= 3)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+    assert [(one[0], one[1]) for one in patience.asked[:3]] == [(end, heard)] * 3
+    assert all(passed >= 0.99 * least for _, _, passed in patience.asked)
+
+
 @pytest.mark.parametrize("speaks", [True, False])
 @on_loop
 async def test_a_start_serves_from_the_agents_first_word_on(monkeypatch, speaks):
