--- a/dunepulley/net/discovery.py
+++ b/dunepulley/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -19,6 +20,15 @@
 LINE_LIMIT = 64 * 1024 * 1024
 
 
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+def opened(line: bytes) -> int:
+    """How many more brackets a line of JSON opens than it closes."""
+    bare = STRING.sub(b"", line)
+    return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+
+
 class RefusedError(Exception):
     """Discovery turns a call away; what it said before still stands."""
 
@@ -90,15 +100,22 @@
                 raise ValueError(f"discovery answered {answer.status}")
             clock = asyncio.get_running_loop().time
             self.current = clock()
-            rest = b""
+            rest, begun, depth = b"", bytearray(), 0
             async for chunk in answer.content.iter_any():
                 self.current = clock()
                 *lines, rest = (rest + chunk).split(b"\n")
-                if len(rest) > LINE_LIMIT:
+                if len(rest) + len(begun) > LINE_LIMIT:
                     raise ValueError("a line without end")
                 for line in lines:
-                    if line.strip():
-                        self._take(listed(orjson.loads(line)))
+                    if begun and not line.strip():
+                        raise ValueError("a list that breaks off")
+                    begun += line
+                    depth += opened(line)
+                    if depth > 0:
+                        continue  # indented: it goes on with the next line
+                    if begun.strip():
+                        self._take(listed(orjson.loads(begun)))
+                    begun, depth = bytearray(), 0
                     self.heard = True
                     self.first.set()
         # What is left of a line that was cut is no news.
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -181,6 +181,11 @@
     return json.dumps(members(member("w0", "127.0.0.1:9"), revision=revision, **more)).encode() + b"\n"
 
 
+def indented(revision):
+    told = members(member('w{"[', "127.0.0.1:9"), revision=revision)
+    return json.dumps(told, indent=2).encode() + b"\n"
+
+
 @pytest.mark.parametrize(
     ("watches", "revisions", "asked"),
     [
@@ -190,6 +195,11 @@
         ([[chunk(line_of(5) + line_of(6)[:40])], [chunk(line_of(6))]], [5, 6], [3, 5, 6]),
         # One line over several chunks, several lines in one.
         ([[chunk(line_of(5)[:9]), chunk(line_of(5)[9:] + line_of(6))]], [5, 6], [3, 6]),
+        # Indented, over many lines.
+        ([[chunk(indented(5) + line_of(6) + indented(7))]], [5, 6, 7], [3, 7]),
+        ([[chunk(indented(5)[:60]), chunk(indented(5)[60:] + b"\n")]], [5], [3, 5]),
+        # Indented and broken off: the empty line that comes each 2 s shows it.
+        ([[chunk(indented(5)[:60] + b"\n\n" + line_of(6))], [chunk(line_of(8))]], [8], [3, 0, 8]),
         # Not a list: nothing is known of what it said, so the whole list is asked for.
         ([[chunk(line_of(5)), chunk(b'{"members":5}\n')], [chunk(line_of(8))]], [5, 8], [3, 0, 8]),
         ([[chunk(b"nonsense\n")], [chunk(line_of(8))]], [8], [3, 0, 8]),
