--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -260,12 +260,15 @@
         self.transport.write(text.encode())
         self.raw = bytearray()
         self._stop_timer()
-        if status == 413:
-            # Closing at once, with more on its way in, would break the connection before the answer is read.
-            self.transport.pause_reading()
-            self.timer = self.front.loop.call_later(READ_IT_S, self.transport.abort)
-        else:
+        if self.busy:
+            # Its item ends with the connection.
             self.transport.close()
+            return
+        # A lingering close. To close at once, with more on its way in, would break the connection before the
+        # answer is read: end our side, read no more, and close a moment later.
+        self.transport.write_eof()
+        self.transport.pause_reading()
+        self.timer = self.front.loop.call_later(READ_IT_S, self.transport.abort)
 
     def _late(self) -> None:
         self.timer = None
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -204,6 +204,27 @@
         await serves(town, "b")
 
 
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"POST /look/1 HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400"),
+        (b"POST /look/1 HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", "413"),
+        (b"POST /look/1 HTTP/1.1\r\nX-Long: ", "431"),
+    ],
+)
+@on_loop
+async def test_who_is_refused_reads_why_and_then_the_end_though_more_was_on_its_way(head, status):
+    # Guards against a close over unread bytes: it resets the connection, and the answer goes with it.
+    async with Town(lambda call: TAKEN) as town:
+        reader, writer = await town.connect()
+        writer.write(head + b"x" * 1_000_000)
+        assert (await read_call(reader)).target == status
+        assert await reader.read() == b""
+        await until(lambda: not town.clients.server.everyone)
+        await serves(town, "b")
+        writer.close()
+
+
 @on_loop
 async def test_a_silent_worker_and_a_second_answer_end_nothing_twice():
     # A second answer behind the first, some moments later, is no answer to the next hand-off.
