A test of agents waits until the restarted one listens before it asks

Cause: the agent says that it does not vote while it is made (Fleet.__init__), half a line before it listens (Agent.start); the test waited for that line only, and an agent that does not answer yet is {} to Hosts.ask. Ruled out: the vote itself (the log of that run says that h3 does not vote). With half a second put between the two in Agent.start the old test fails each time and the new one passes. The check of the answer is as it was.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -658,6 +658,12 @@
     async def say(self, name, says, zone, **more):
         return await self.ask(name, do="zone", says=says, zone=zone, by="ana", why="test", **more)
 
+    async def listens(self, name):
+        """Wait until an agent answers."""
+        async with asyncio.timeout(15.0):
+            while not await self.ask(name, do="zones"):
+                await asyncio.sleep(0.02)
+
     async def states(self, zone, wanted, names=None):
         """Wait until these dispatchers have a plan in hand in which a zone is as wanted."""
         desks = [self.desks[name] for name in names or self.names]
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -166,6 +166,8 @@
     path.write_bytes(path.read_bytes()[:-100])
     await fleet.start("h3")
     await until(lambda: "h3 does not vote" in fleet.log("h3"))
+    # It says so before it listens.
+    await fleet.listens("h3")
     await fleet.states("a", "left")
     await fleet.kill("h2")
     assert "agents vote" in (await fleet.say("h3", "bar", "b", limit_s=1.0))["refused"]
