Answers without end take nothing back after a 202; workers are told the time that is left

Found by reading the paths that end things, each forced by a test that fails on the text before: - A 202 whose body stood still for 0.5 s counted as silence: the job that the worker had taken was taken back by DELETE. One that trickled on held its exchange, of twelve with a worker, up to the item's expiry, and one that came fast was kept in memory whole (answer.read() in _send, _delete and _probe). What stands behind the head is now read for 0.5 s and to 64 KB, then the connection is closed. - X-Budget-Ms was written down at the decision; over a connection that comes up 1.5 s late it told 1.5 s more than the client waits. It is put in when the connection is there (on_request_headers_sent, before the library makes the head). test_what_goes_on_unchanged held the header to the time of the decision; it holds it now to what is left, within the time that the test itself took. - A hand-off given up while its worker was being told of a lost 202 ended as UNHEARD, as the task with the DELETE was ended with it: where one copy is allowed the item was answered at once for nothing. The DELETE has a task of its own. - Where the settings allow no taking back (policyLimits.cancel), a DELETE went out all the same after silence and, with one copy, after a break. None does now; with one copy that ends as UNHEARD.

--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -72,10 +72,11 @@
 
     `kept` if it went over a connection that was at hand, `touched` once writing has begun, `written` once
     its last byte has left, `answered` once the worker has answered, `heard` once it has told of it,
-    `stopped` once it is given up, `barred` if it was too late for its first byte.
+    `stopped` once it is given up, `barred` if it was too late for its first byte. `until` is when its limit
+    is over, by the loop's clock in s.
     """
 
-    __slots__ = ("job", "number", "worker", "address", "limit", "sent", "begin")
+    __slots__ = ("job", "number", "worker", "address", "limit", "sent", "begin", "until")
     __slots__ += ("kept", "touched", "written", "answered", "heard", "stopped", "barred", "result", "timer")
 
     def __init__(
@@ -95,6 +96,7 @@
         self.limit = limit
         self.sent = sent
         self.begin = begin
+        self.until = 0.0
         self.kept = self.touched = self.written = self.answered = self.heard = False
         self.stopped = self.barred = False
         self.result = ""
--- a/dunepulley/net/workers.py
+++ b/dunepulley/net/workers.py
@@ -37,6 +37,9 @@
 # A worker answers a hand-off when it has taken it, not when it has run it. Where neither that nor a callback
 # has come after this, the connection has fallen silent: waiting on would cost the work item its time.
 UNANSWERED_S = 0.5
+# What is left of an answer behind its head comes with it, or is one without end: no more of it is waited for
+# or read than this, as a body holds at most 64 KB.
+REST_S, REST_MOST = 0.5, 65536
 # What no worker can read: the fault of what was sent.
 UNREADABLE = (400, 413, 414, 431)
 # Headers that the library would add by itself.
@@ -54,6 +57,20 @@
     return getattr(problem, "errno", None) in NO_DESCRIPTOR
 
 
+async def read_rest(answer: aiohttp.ClientResponse) -> bytes:
+    """The body of an answer, within bounds.
+
+    Raises TimeoutError if it does not end in time, and ClientPayloadError if it is longer than any body.
+    """
+    rest = bytearray()
+    async with asyncio.timeout(REST_S):
+        async for part in answer.content.iter_any():
+            rest += part
+            if len(rest) > REST_MOST:
+                raise aiohttp.ClientPayloadError("an answer without end")
+    return bytes(rest)
+
+
 class Body(BytesPayload):
     """A hand-off's body, which notes when writing begins and when the last byte has left the process.
 
@@ -101,10 +118,12 @@
         self.put = put
         self.may_begin = may_begin
         self.copies = bool(settings.get("policyLimits.secondCopies", False))
+        self.cancels = bool(settings.get("policyLimits.cancel", False))
         self.counters = counters
         # Whether an exchange went over a kept connection: what breaks it says less then.
         trace = aiohttp.TraceConfig()
         trace.on_connection_reuseconn.append(self._kept)
+        trace.on_request_headers_sent.append(self._tell_left)
         idle = settings.get("policyLimits.connIdleMs", 15000.0) / 1000.0
         self.connect_s = settings.get("policyLimits.connectTimeoutMs", 1000.0) / 1000.0
         self.has_reports = settings.get("reporting.how", "none") != "none"
@@ -144,6 +163,17 @@
         if isinstance(context.trace_request_ctx, Ho):
             context.trace_request_ctx.kept = True
 
+    @staticmethod
+    async def _tell_left(session: aiohttp.ClientSession, context: Any, params: Any) -> None:
+        """Tell how long the client still waits, once a connection is there and before the head is made.
+
+        Guards against a worker that runs on for nobody: a connection may come up a second and a half late.
+        """
+        ho = context.trace_request_ctx
+        if isinstance(ho, Ho):
+            left = ho.until - asyncio.get_running_loop().time()
+            params.headers["X-Budget-Ms"] = str(max(1, int(left * 1000.0)))
+
     def _start(self, name: Any, work: Coroutine[Any, Any, None]) -> None:
         if self.sweep is None:
             self._sweep_later()
@@ -184,7 +214,8 @@
     async def _send(self, ho: Ho) -> None:
         job = ho.job
         url = url_of(ho.address, job.target)
-        headers = {"X-Call-Id": job.arrived.wi, "X-Budget-Ms": str(max(1, int(ho.limit))), **job.headers}
+        ho.until = asyncio.get_running_loop().time() + ho.limit / 1000.0
+        headers = {"X-Call-Id": job.arrived.wi, **job.headers}
         result, report, accepted = face.CUT, None, False
         try:
             # Waiting for one of the connections counts as connecting: a hand-off that waited longer would go
@@ -205,17 +236,17 @@
                     # What becomes of it comes by callback, even if the connection breaks in this moment.
                     accepted = True
                     self.counters["ho accepted"] += 1
-                await answer.read()
+                await read_rest(answer)
                 report = words.report_of_text(answer.headers.get("X-Load-Report"), "=")
                 full = answer.status in (503, 504) and answer.headers.get("X-Rejected") == "1"
                 result = face.FULL if full else face.UNFIT if answer.status in UNREADABLE else face.ERRED
                 if answer.status not in (202, 500, 503, 504):
                     log.say("worker", f"{ho.worker} answered {answer.status}")
         except aiohttp.SocketTimeoutError:
-            self.counters["ho unanswered"] += 1
-            if not ho.heard:
+            self.counters["ho unanswered"] += not accepted
+            if not ho.heard and not accepted:
                 # The worker may have taken it all the same: it is told before the item goes anywhere else.
-                await self._delete(ho, face.DROPPED if ho.kept else face.CUT)
+                self._take_back(ho, face.DROPPED if ho.kept else face.CUT)
             return
         except (aiohttp.ClientError, OSError) as problem:
             result = self._meaning(ho, problem)
@@ -224,7 +255,7 @@
             if result in (face.CUT, face.DROPPED) and not accepted and not self.copies:
                 # Its 202 may have been lost with the connection: where there may be no second copy, the
                 # worker is told before the item goes anywhere else.
-                await self._delete(ho, result)
+                self._take_back(ho, result)
                 return
         if not accepted:
             self.put(Over(ho, result, report))
@@ -248,6 +279,8 @@
     def give_up(self, ho: Ho, tell: bool) -> None:
         """Take back a hand-off: close its connection if that is still open, and tell the worker."""
         ho.stopped = True
+        if ("delete", ho) in self.tasks:
+            return  # the worker is being told, and how that ends is
         sending = self.tasks.get(ho)
         if sending is not None:
             sending.cancel()
@@ -255,9 +288,19 @@
             self.put(Over(ho, face.NOT_SENT))
         elif tell:
             # Also before the 202 is read: it may be on its way, and then closing takes nothing back.
-            self._start(("delete", ho), self._delete(ho))
+            self._take_back(ho, face.TAKEN_BACK)
+
+    def _take_back(self, ho: Ho, result: str) -> None:
+        """Tell the worker, in a task of its own: it goes on if the hand-off is given up meanwhile.
+
+        Where the settings allow no taking back, closing the connection before the 202 has to do.
+        """
+        if self.cancels:
+            self._start(("delete", ho), self._delete(ho, result))
+        else:
+            self.put(Over(ho, result if self.copies else face.UNHEARD))
 
-    async def _delete(self, ho: Ho, result: str = face.TAKEN_BACK) -> None:
+    async def _delete(self, ho: Ho, result: str) -> None:
         """Tell the worker that a hand-off is given up, and then the module how it ended.
 
         Where there may be no second copy, one that the worker did not hear of is told as `UNHEARD`.
@@ -276,14 +319,14 @@
                         asyncio.timeout(left),
                         self.session.delete(url, allow_redirects=False, timeout=UNHURRIED) as answer,
                     ):
-                        await answer.read()
                         self.counters[f"delete {answer.status}"] += 1
                         heard = True
+                        await read_rest(answer)
                 except (aiohttp.ClientError, OSError) as problem:
                     self.counters["delete unheard"] += 1
                     # Who broke the connection and now takes none has ended, and all that it ran with it.
                     refused = getattr(problem, "errno", None) == errno.ECONNREFUSED
-                    heard = refused and result is not face.TAKEN_BACK
+                    heard = heard or refused and result is not face.TAKEN_BACK
                     if not self.copies:
                         await asyncio.sleep(AGAIN_S)
         finally:
@@ -303,7 +346,7 @@
         report = None
         try:
             async with asyncio.timeout(SILENT_S), self.session.get(url, allow_redirects=False) as answer:
-                text = (await answer.read()).decode("utf-8", "replace")
+                text = (await read_rest(answer)).decode("utf-8", "replace")
                 result = {200: face.FINISHED, 503: face.FULL}.get(answer.status, face.ERRED)
                 if self.has_reports and answer.status in (200, 503):
                     report = report_of_body(text)
