A call for the list that is turned away or cut at once puts nothing off

The time that an old list may be acted on was counted anew from the begin of each call (Discovery.run set `current` there), so a watch that fell silent for 3 s and was then refused at once could wait for 3.8 s more: 6.9 s and the answer, where a change counts as told 6 s after discovery had it and could be reached, whatever became of calls. Counted anew only from a call that does not reach discovery; and from a whole line on, not from a head or a part of a line, neither of which shows that the list in hand is current. The 0.15 s of pushed lists are under the bound, too. Where nothing of the 6 s is left it starts anew, so that a discovery that refuses for long is not asked without a pause. Tests by path and on sockets fail on the text before.

--- a/dunepulley/net/discovery.py
+++ b/dunepulley/net/discovery.py
@@ -50,9 +50,11 @@
         self.put = put
         self.counters = counters
         self.tell: Callable[[str], None] = lambda text: None
-        self.heard = False  # whether the present watch has brought a whole line
+        # Whether the present call was answered, and whether it has brought a whole line.
+        self.reached = self.heard = False
         self.first = asyncio.Event()  # once any watch has
-        self.current = 0.0  # when discovery last showed that the list in hand is current, or was called
+        # When the list in hand was last known to be current, or discovery was last called and not reached.
+        self.current = 0.0
 
     async def run(self) -> None:
         """Watch for ever."""
@@ -64,9 +66,10 @@
             connector=connector, timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), trust_env=False
         ) as session:
             clock = asyncio.get_running_loop().time
+            self.current = clock()
             while True:
-                self.heard = False
-                self.current = clock()
+                self.reached = self.heard = False
+                called = clock()
                 self.counters["discovery calls"] += 1
                 self.tell(f"list-call {self.revision}")
                 end = watching.CUT
@@ -74,6 +77,10 @@
                     await self._watch(session)
                     log.say("discovery", "the watch ended")
                 except (aiohttp.ClientError, OSError) as problem:
+                    if not self.reached and isinstance(problem, aiohttp.ClientConnectorError | TimeoutError):
+                        # What it has to tell counts as told only some time after it can be reached again. A
+                        # call that it turns away, or cuts, puts nothing off.
+                        self.current = called
                     log.say("discovery", f"the watch broke: {type(problem).__name__} {problem}")
                 except RefusedError as problem:
                     # The list in hand still stands, and to have it whole would cost discovery the most.
@@ -94,15 +101,14 @@
         async with contextlib.AsyncExitStack() as stack:
             async with asyncio.timeout(watching.ANSWER_S):
                 answer = await stack.enter_async_context(session.get(url))
+            self.reached = True
             if answer.status == 429 or answer.status >= 500:
                 raise RefusedError(f"discovery answered {answer.status}")
             if answer.status != 200:
                 raise ValueError(f"discovery answered {answer.status}")
             clock = asyncio.get_running_loop().time
-            self.current = clock()
             rest, begun, depth = b"", bytearray(), 0
             async for chunk in answer.content.iter_any():
-                self.current = clock()
                 *lines, rest = (rest + chunk).split(b"\n")
                 if len(rest) + len(begun) > LINE_LIMIT:
                     raise ValueError("a line without end")
@@ -117,6 +123,7 @@
                         self._take(listed(orjson.loads(begun)))
                     begun, depth = bytearray(), 0
                     self.heard = True
+                    self.current = clock()
                     self.first.set()
         # What is left of a line that was cut is no news.
 
--- a/dunepulley/watching.py
+++ b/dunepulley/watching.py
@@ -11,10 +11,12 @@
     cut             at most 2 s have passed, as an empty line comes every 2 s
     silence         SILENCE_S
     a silent call   ANSWER_S, or SILENCE_S from when it began to answer
-    refused         up to ANSWER_S: a call may wait in turn before it is turned away
+    refused         all of it: a call that is turned away, or cut at once, puts nothing off
     start           nothing: where lists are pushed it serves from the answer on, or from START_S
     reload          nothing: the call goes out at once, whatever the old watch was waiting for
 
+Where calls were refused until nothing of the bound is left, it counts anew from the last of them.
+
 Backoff grows, and has jitter, so that a fleet does not call in step.
 """
 
@@ -59,8 +61,11 @@
     def wait(self, end: str, heard: bool, passed: float = 0.0) -> float:
         """How long to wait before the next call, after a watch that ended so and brought a line or not.
 
-        `passed` is the time since the list in hand was last known to be current, or since the call began.
+        `passed` is the time since the list in hand was last known to be current, or since the call began if
+        that did not reach discovery.
         """
+        left = BOUND_S - ANSWER_S - passed
+        left = left if left > 0.0 else BOUND_S - ANSWER_S
         if end == REFUSED:
             # An agent that turns calls away is not as cheap as it should be: from now on spread them.
             self.shared = True
@@ -71,8 +76,8 @@
             span = min(SHARED_S, self.span)
         else:
             # A time of chance all the same: dispatchers that share a machine are not to call in step.
-            return AGAIN_S * self.chance.random()
+            return min(AGAIN_S, left) * self.chance.random()
         # Where the bound cuts it short, half of what is left is still jitter.
-        most = min(1.5 * self.pause + span, max(0.0, BOUND_S - ANSWER_S - passed))
+        most = min(1.5 * self.pause + span, left)
         least = min(0.5 * self.pause, 0.5 * most)
         return least + (most - least) * self.chance.random()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -304,6 +304,47 @@
     assert all(passed >= 0.99 * least for _, _, passed in patience.asked)
 
 
+class Since(Asked):
+    """Notes since when what has passed is counted, and waits a little."""
+
+    def wait(self, end, heard, passed=0.0):
+        super().wait(end, heard, asyncio.get_running_loop().time() - passed)
+        return 0.05
+
+
+@pytest.mark.parametrize(
+    ("says", "counts_on"),
+    [(answer(503), True), (CUT, True), (b"HTTP/1.1 200 OK\r\n\r\nnonsense\n", True), (None, False)],
+)
+@on_loop
+async def test_a_call_that_discovery_turns_away_puts_nothing_off_but_one_that_does_not_reach_it_does(
+    monkeypatch, says, counts_on
+):
+    # Guards against an old list that is acted on for 6 s from the last of several calls: a change counts as
+    # told 6 s after discovery had it and could be reached, whatever became of the calls.
+    monkeypatch.setattr(watching, "ANSWER_S", 0.1)
+
+    async def once():
+        yield STREAM + chunk(line_of(5))
+
+    async def nothing():
+        yield b""
+        await asyncio.Event().wait()
+
+    patience = Since()
+    async with Peer(lambda call: once() if len(peer.seen) == 1 else says or nothing()) as peer:
+        watch = discovery.Discovery(peer.address, 3, lambda news: None, Counters(), patience)
+        task = asyncio.create_task(watch.run())
+        await until(lambda: len(patience.asked) >= 4)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+    first, *others = [since for _, _, since in patience.asked[:4]]
+    if counts_on:
+        assert all([abs(since - first) < 0.02 for since in others])
+    else:
+        assert all([later - before > 0.1 for before, later in zip(others, others[1:], strict=False)])
+
+
 @pytest.mark.parametrize("speaks", [True, False])
 @on_loop
 async def test_a_start_serves_from_the_agents_first_word_on(monkeypatch, speaks):
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -18,6 +18,9 @@
     "a silent call": (CUT, False, watching.ANSWER_S),
     "refused at once": (REFUSED, False, 0.0),
     "refused in turn": (REFUSED, False, watching.ANSWER_S),
+    "refused after silence": (REFUSED, False, watching.SILENCE_S + 0.2),
+    "refused again and again": (REFUSED, False, 3.7),
+    "cut again and again": (CUT, False, 3.7),
 }
 
 
@@ -85,6 +88,14 @@
         assert max(sum(at <= other < at + tenth for other in times) for at in times) <= 16
 
 
+@pytest.mark.parametrize("end", [CUT, REFUSED])
+def test_what_is_turned_away_until_nothing_of_the_bound_is_left_is_asked_again_in_a_while(end):
+    # Guards against calls without a pause: the bound cannot be kept any more.
+    patience = Patience(Random(3), 40.0, False)
+    waits = [patience.wait(end, False, 3.8 + 0.1 * call) for call in range(50)]
+    assert sum(waits) / 50 > 1.0 and max(waits) <= TOLD_S - watching.ANSWER_S
+
+
 def test_a_very_large_fleet_that_is_refused_keeps_half_of_what_the_bound_leaves_as_jitter():
     patience = Patience(Random(3), 2000.0, True)
     waits = [patience.wait(REFUSED, False) for _ in range(200)]
