SIGHUP and SIGUSR1 wait until somebody hears them, and do no harm at the end

Between the start of the interpreter and Service (imports, the configuration) SIGHUP had its usual effect and ended the process: a reload of a whole fleet while some of it restarts cost those. And between remove_signal_handler and SIG_IGN, as well as after the loop had closed, SIGUSR1 did. Both are blocked from the first line of `serve` on until there are handlers, and again from the last closing on. A SIGHUP heard before the first watch is opened no longer has that watch ask the new discovery for what came after a version of the old one.

--- a/dunepulley/__main__.py
+++ b/dunepulley/__main__.py
@@ -6,9 +6,10 @@
 import asyncio
 import gc
 import os
+import signal
 import sys
 
-from dunepulley import VERSION
+from dunepulley import NO_END, VERSION
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -83,4 +84,8 @@
 
 
 if __name__ == "__main__":
+    if sys.argv[1:2] == ["serve"]:
+        # Guards against a start that is ended by a signal which asks for something else: these wait until
+        # somebody hears them.
+        signal.pthread_sigmask(signal.SIG_BLOCK, NO_END)
     sys.exit(main())
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -15,7 +15,7 @@
 
 import orjson
 
-from dunepulley import VERSION, drains
+from dunepulley import NO_END, VERSION, drains
 from dunepulley import interface as face
 from dunepulley.net import config, figures, handover, log
 from dunepulley.net.clients import DRAINED, ENDING, HANDED, Clients
@@ -110,7 +110,8 @@
         self.task = asyncio.create_task(self.core.run())
         self.core.put(DrainEnded())
         self.task.add_done_callback(self._task_ended)
-        self._watch(self.start_with.known.revision)
+        # SIGHUP may have come first: the versions of one discovery say nothing to another.
+        self._watch(self.start_with.known.revision if self.discovery == self.start_with.discovery else 0)
         host, port = self.start_with.listen
         if self.start_with.trace is not None:
             path, most = self.start_with.trace
@@ -384,6 +385,7 @@
         raise config.UnusableError(str(problem)) from problem
     loop.add_signal_handler(signal.SIGHUP, service.reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: print_counters(service.counters))
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, NO_END)
     ends = [asyncio.create_task(event.wait()) for event in (told_to_end, service.ended, service.done)]
     starting = asyncio.create_task(service.start())
     try:
@@ -404,8 +406,7 @@
         for end in ends:
             end.cancel()
         # From here on there is nothing left to watch for.
-        loop.remove_signal_handler(signal.SIGHUP)
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        signal.pthread_sigmask(signal.SIG_BLOCK, NO_END)
         with contextlib.suppress(OSError):
             await service.close()
         print_counters(service.counters)
