A request that is half here at the end has its answer, as has who still reads one

After SIGTERM the process ended as soon as no item waited, 1.3 s before its time: a request of which a part had come was cut (Service.finish waited for none_waiting alone), and its client, which then writes the last byte to a connection that was accepted, has lost it. It waits now for what is half here or not written out (Front.owes), within the time that there is; the rest gets 503.

--- a/dunepulley/net/clients.py
+++ b/dunepulley/net/clients.py
@@ -365,6 +365,10 @@
         self.left(connection)
         connection.transport.abort()
 
+    def owes(self) -> bool:
+        """Whether a request is here, also in part, that has no whole answer, or an answer is not out yet."""
+        return any([one.busy or one.raw or one.transport.get_write_buffer_size() for one in self.everyone])
+
     def share(self, part: float) -> None:
         """Hold this part of the connections allowed: another process of this dispatcher holds the rest."""
         self.limit = int(self.full * part)
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -39,6 +39,8 @@
 # next is told to end before the last is back. So they are served until this much is left, in which most work
 # items taken last still finish.
 FINISH_S = 1.3
+# So often it is looked whether what is still owed at the end is done.
+LOOK_S = 0.02
 # Once another process takes connections, answers end theirs; what is still idle after this is closed.
 HANDED_S = 0.5
 # Of the connections, on either side, each of two processes holds so much.
@@ -248,9 +250,10 @@
 
     async def _finish_handed(self) -> None:
         await self.clients.none_waiting.wait()
-        while self.core.open:
-            # Hand-offs that are being taken back: their workers have a moment to hear of it.
-            await asyncio.sleep(0.02)
+        while self.core.open or self.clients.server.owes():
+            # Hand-offs that are being taken back, whose workers have a moment to hear of it; halves of
+            # requests, and answers that are not out.
+            await asyncio.sleep(LOOK_S)
         self.done.set()
 
     # ---------------------------------------------------------------- operators' calls
@@ -349,6 +352,10 @@
         try:
             async with asyncio.timeout(left):
                 await self.clients.none_waiting.wait()
+                # A request that is half here, or an answer that a slow client still reads, has the time
+                # that is left: written whole to a connection that we closed, the request is lost.
+                while self.clients.server.owes():
+                    await asyncio.sleep(LOOK_S)
         except TimeoutError:
             log.say("service", f"{len(self.clients.waiting)} work items were written off at the end")
             self.clients.write_off()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -225,6 +225,22 @@
         writer.close()
 
 
+@pytest.mark.parametrize(
+    ("busy", "raw", "unsent", "owes"),
+    [(False, b"", 0, False), (True, b"", 0, True), (False, b"POST", 0, True), (False, b"", 9, True)],
+)
+@on_loop
+async def test_what_is_owed_at_the_end(busy, raw, unsent, owes):
+    async with Town(lambda call: TAKEN) as town:
+        _, writer = await town.connect()
+        await until(lambda: town.clients.server.everyone)
+        (connection,) = town.clients.server.everyone
+        connection.busy, connection.raw = busy, bytearray(raw)
+        connection.transport.get_write_buffer_size = lambda: unsent
+        assert town.clients.server.owes() is owes
+        writer.close()
+
+
 @on_loop
 async def test_a_silent_worker_and_a_second_answer_end_nothing_twice():
     # A second answer behind the first, some moments later, is no answer to the next hand-off.
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -503,6 +503,67 @@
         writer.close()
 
 
+@on_loop
+async def test_a_request_that_is_half_here_at_the_end_has_its_answer(tmp_path):
+    # Guards against an end as soon as no item waits: the rest of a request may be on its way.
+    async with (
+        Peer(lambda call: TAKEN) as worker,
+        Peer(lambda call: SILENT) as watch,
+        Process(tmp_path, worker, watch, expiryUs=600000) as node,
+    ):
+        raw = request("/look/1", b"x" * 100)
+        idle, idle_writer = await node.open(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await read_call(idle)).target == "200"
+        half, half_writer = await node.open(raw[:-40])
+        never, never_writer = await node.open(raw[:-40])
+        node.process.send_signal(signal.SIGTERM)
+        assert not await idle.read()  # from here on no work item is taken
+        half_writer.write(raw[-40:])
+        told = await read_call(half)
+        assert (told.target, told.headers["connection"]) == ("503", "close")
+        # Who never sends the rest keeps no process beyond its time.
+        assert not await never.read() and await node.process.wait() == 0
+        for writer in (idle_writer, half_writer, never_writer):
+            writer.close()
+        assert not worker.seen
+
+
+@on_loop
+async def test_sighup_before_anybody_hears_it_waits(tmp_path):
+    # Guards against a start that a reload ends: the start is held where it reads its configuration.
+    async with (
+        Peer(lambda call: TAKEN) as worker,
+        Peer(lambda call: SILENT) as watch,
+        Peer(lambda call: SILENT) as moved,
+    ):
+        node = Process(tmp_path, worker, watch)
+        text = node.path.read_text()
+        node.path.unlink()
+        os.mkfifo(node.path)
+        entering = asyncio.create_task(node.__aenter__())
+        try:
+            pipe = -1
+            while pipe < 0:
+                with contextlib.suppress(OSError):  # until the process has opened its end
+                    pipe = os.open(node.path, os.O_WRONLY | os.O_NONBLOCK)
+                await asyncio.sleep(0.01)
+            new = tmp_path / "new.json"
+            new.write_text(text.replace(watch.address, moved.address))
+            new.rename(node.path)
+            for number in (signal.SIGHUP, signal.SIGUSR1):
+                node.process.send_signal(number)
+            os.write(pipe, text.encode())
+            os.close(pipe)
+            await entering
+            await until(lambda: moved.seen)
+            # Versions of the discovery before mean nothing here.
+            assert {call.target for call in moved.seen} == {"/catalog/members?stream=1&index=0"}
+            assert node.process.returncode is None
+        finally:
+            entering.cancel()
+            await node.__aexit__()
+
+
 @on_loop
 async def test_sighup_watches_the_new_discovery_and_disturbs_nothing(tmp_path):
     async def told():
