--- a/bench/drain_fleet.py
+++ b/bench/drain_fleet.py
@@ -24,11 +24,11 @@
 
 import aiohttp
 
-from bench.processes import Processes
 from bench.standin import Clients, Workers
 from dunepulley.agent import wire
 from dunepulley.agent.instance import SilentError, call
 from dunepulley.load.local import discovery, free_ports
+from dunepulley.load.processes import Processes
 
 GRACE_MS = 300.0
 # What was sent before a process was killed may be read a moment later; the next one takes longer to start.
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -30,10 +30,10 @@
 import aiohttp
 
 from bench.fleet import lines_of
-from bench.processes import Processes
 from dunepulley.agent import wire
 from dunepulley.agent.instance import SilentError, call
 from dunepulley.load.local import Catalog, catalog, free_ports, member
+from dunepulley.load.processes import Processes
 
 WAYS = ("common", "alone", "fixed")
 ZONES = ("a", "b", "c")
--- a/bench/site.py
+++ b/bench/site.py
@@ -12,22 +12,19 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import json
 import sys
 import time
 from collections import deque
 from typing import Any
 
-import aiohttp
-from aiohttp import web
-
-from dunepulley.load.local import RealTime, call_back
-from dunepulley.model.worker import Job, Worker
+from dunepulley.load.local import RealTime
+from dunepulley.load.standins import StandIns, load_of
+from dunepulley.model.worker import Worker
 
 PAUSE_S = 0.2
-# A cold worker's speed is set anew so often, and what is sent to it is counted over so long.
-WARMING_S, FALL_MS = 0.25, 1000.0
+# What is sent to a cold worker is counted over so long.
+FALL_MS = 1000.0
 
 
 class Site:
@@ -37,98 +34,60 @@
         self.told = told
         self.time = RealTime()
         self.record = open(told["record"], "a", buffering=1)  # noqa: SIM115
-        self.jobs: dict[tuple[str, str], Job] = {}
         self.lately: dict[str, deque[tuple[float, float]]] = {name: deque() for name in told["workers"]}
-        self.tasks: set[asyncio.Task] = set()
-        self.workers = {
-            name: Worker(
-                self.time, name, told["zone"], "box", "0", told["slots"], told["queue"], told["speed"]
-            )
-            for name in told["workers"]
-        }
+        self.standins = StandIns(self, self.time, pause_s=PAUSE_S)
 
     def note(self, *words: Any) -> None:
         """Write one line of the record."""
         at = time.time() * 1000.0
         self.record.write(" ".join([words[0], f"{at:.1f}", *[str(word) for word in words[1:]]]) + "\n")
 
-    def warmth(self) -> float:
-        """The part of their speed that the workers have now."""
-        told = self.told
-        if not told["since_ms"]:
-            return 1.0
-        age = (time.time() * 1000.0 - told["since_ms"]) / (told["cold_s"] * 1000.0)
-        return min(1.0, told["cold_from"] + (1.0 - told["cold_from"]) * age)
-
-    async def warm(self) -> None:
-        """Let the workers become warm."""
-        while self.warmth() < 1.0:
-            for worker in self.workers.values():
-                worker.set_factor("cold", self.warmth())
-            await asyncio.sleep(WARMING_S)
-        for worker in self.workers.values():
-            worker.set_factor("cold", 1.0)
+    def work_of(self, wi: str, headers: Any) -> float:
+        """What an item takes, in ms."""
+        return float(headers.get("X-Call-Cost", 1000.0 * self.told["runs_ms"])) / 1000.0
+
+    def callback_of(self, wi: str, worker: str) -> str:
+        """The dispatcher that was given an item."""
+        return self.told["dispatchers"][wi.partition(".")[0]]
+
+    def report_of(self, worker: Worker) -> dict[str, float]:
+        """Its figures of now."""
+        return load_of(worker)
+
+    def happened(self, what: str, worker: str, wi: str, work: float) -> None:
+        """Record hand-offs, and cold workers that are pushed over."""
+        if what == "arrived":
+            self.note("sent", wi.partition(".")[0], worker)
+            self.count(self.standins.workers[worker], work)
+        elif what == "full":
+            self.note("full", worker)
 
     def count(self, worker: Worker, work: float) -> None:
         """Whether a cold worker was sent more than it can bear within the span that counts."""
-        if self.warmth() >= 1.0:
+        warmth = worker.factors.get("cold", 1.0)
+        if warmth >= 1.0:
             return
         sent, now = self.lately[worker.name], self.time.now
         sent.append((now, work))
         while sent[0][0] < now - FALL_MS:
             sent.popleft()
-        able = worker.speed * self.warmth() * worker.slots * FALL_MS
+        able = worker.speed * warmth * worker.slots * FALL_MS
         if sum([each for _, each in sent]) > self.told["fall_multiple"] * able:
             self.note("over", worker.name)
             sent.clear()
 
-    async def take(self, worker: Worker, request: web.BaseRequest) -> web.Response:
-        """One request of a dispatcher's."""
-        if request.method == "DELETE":
-            job = self.jobs.get((worker.name, request.path.rpartition("/")[2]))
-            if job is not None:
-                worker.drop(job, True)
-            return web.Response(status=204)
-        if request.method != "POST":
-            return web.Response(status=404)
-        await request.read()
-        wi = request.headers.get("X-Call-Id", "")
-        dispatcher = wi.partition(".")[0]
-        work = float(request.headers.get("X-Call-Cost", 1000.0 * self.told["runs_ms"])) / 1000.0
-        self.note("sent", dispatcher, worker.name)
-        self.count(worker, work)
-        job = Job(wi, work, 1.0, functools.partial(self.tell, worker, wi, dispatcher))
-        if not worker.offer(job):
-            self.note("full", worker.name)
-            return web.Response(status=503, headers={"X-Rejected": "1"})
-        self.jobs[worker.name, wi] = job
-        return web.Response(status=202)
-
-    def tell(self, worker: Worker, wi: str, dispatcher: str, what: str) -> None:
-        """A job has begun, or has ended."""
-        told: dict[str, Any] = {"id": wi, "from": worker.name}
-        told["state"] = {"began": "started", "finished": "done"}.get(what, "lost")
-        if what == "finished":
-            report = worker.report()
-            load = {"qps": report["rate"], "queue": report["queue"], "x0": report["x0"]}
-            told |= {"result": "made", "load": load}
-        if what != "began":
-            self.jobs.pop((worker.name, wi), None)
-        address = self.told["dispatchers"][dispatcher]
-        task = asyncio.create_task(call_back(self.session, address, told, PAUSE_S))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
     async def run(self) -> None:
         """Serve until killed."""
-        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-        for name, port in self.told["workers"].items():
-            handler = functools.partial(self.take, self.workers[name])
-            runner = web.ServerRunner(web.Server(handler, access_log=None))
-            await runner.setup()
-            await web.TCPSite(runner, "127.0.0.1", port, reuse_address=True).start()
-        await self.warm()
-        await asyncio.Event().wait()
+        told = self.told
+        async with self.standins:
+            for name, port in told["workers"].items():
+                slots, queue, speed = told["slots"], told["queue"], told["speed"]
+                worker = Worker(self.time, name, told["zone"], "box", "0", slots, queue, speed)
+                if told["since_ms"]:
+                    worker.start()
+                    worker.warm(told["cold_from"], told["cold_s"] * 1000.0)
+                await self.standins.open(worker, port)
+            await asyncio.Event().wait()
 
 
 async def main() -> None:
--- a/bench/standin.py
+++ b/bench/standin.py
@@ -10,12 +10,15 @@
 from typing import Any, NamedTuple
 
 import aiohttp
-from aiohttp import web
 
-from dunepulley.load.local import call_back, member, serve
+from dunepulley.load.local import RealTime, member
+from dunepulley.load.standins import StandIns
+from dunepulley.model.worker import Worker
 
 # A dispatcher that is killed and started again is back after a few of these.
 PAUSE_S = 0.2
+# So many slots: whatever comes begins at once.
+MANY = 1_000_000
 
 
 class Sent(NamedTuple):
@@ -38,47 +41,35 @@
         self.runs_ms = runs_ms
         self.addresses = addresses
         self.sent: list[Sent] = []
-        self.runners: list[web.ServerRunner] = []
         self.members: list[dict[str, Any]] = []
-        self.tasks: set[asyncio.Task] = set()
 
     async def __aenter__(self) -> Workers:
-        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        clock = RealTime()
+        self.standins = await StandIns(self, clock, tells_start=False, pause_s=PAUSE_S).__aenter__()
         for number, zone in enumerate(self.zones):
-            name = f"w{number}"
-            runner, address = await serve(self._taker(name))
-            self.runners.append(runner)
-            self.members.append(member(name, address, zone, "box", "0"))
+            worker = Worker(clock, f"w{number}", zone, "box", "0", MANY, MANY, 1.0)
+            address = await self.standins.open(worker)
+            self.members.append(member(worker.name, address, zone, "box", "0"))
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        for runner in self.runners:
-            await runner.cleanup()
-        await self.session.close()
-
-    def _taker(self, name: str) -> Any:
-        async def take(request: web.BaseRequest) -> web.Response:
-            at = time.time() * 1000.0
-            if request.method != "POST":
-                return web.Response(status=204 if request.method == "DELETE" else 404)
-            await request.read()
-            wi = request.headers.get("X-Call-Id", "")
-            instance = wi.partition(".")[0]
-            self.sent.append(Sent(at, instance, name, wi))
-            task = asyncio.create_task(self._run(name, instance, wi))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-            return web.Response(status=202)
-
-        return take
-
-    async def _run(self, name: str, instance: str, wi: str) -> None:
-        await asyncio.sleep(self.runs_ms / 1000.0)
-        told = {"id": wi, "from": name, "state": "done", "result": "made"}
-        await call_back(self.session, self.addresses[instance], told, PAUSE_S)
+        await self.standins.__aexit__()
+
+    def work_of(self, wi: str, headers: Any) -> float:
+        """What an item takes, in ms."""
+        return self.runs_ms
+
+    def callback_of(self, wi: str, worker: str) -> str:
+        """The instance that was given an item."""
+        return self.addresses[wi.partition(".")[0]]
+
+    def happened(self, what: str, worker: str, wi: str, work: float) -> None:
+        """Note the hand-offs."""
+        if what == "arrived":
+            self.sent.append(Sent(time.time() * 1000.0, wi.partition(".")[0], worker, wi))
+
+    def report_of(self, worker: Worker) -> None:
+        """No load report."""
 
 
 class Clients:
--- a/dunepulley/__main__.py
+++ b/dunepulley/__main__.py
@@ -27,6 +27,7 @@
         return dispatch(parser.parse_args(arguments))
 
     from dunepulley.agent import ctl
+    from dunepulley.load import command as load
     from dunepulley.model import command as model
 
     command = commands.add_parser("agent", help="look after the dispatchers of a host")
@@ -35,13 +36,16 @@
     command.add_argument("--new-votes", action="store_true", help=text)
     ctl.add_to(commands.add_parser("ctl", help="have agents show, drain, restore or restart"))
     model.add_to(commands)
+    load.add_to(commands)
     commands.add_parser("version", help="print the version")
     chosen = parser.parse_args(arguments)
     if chosen.command == "version":
         print(f"dunepulley {VERSION}")
         return 0
-    if chosen.command in ("model", "compare", "load"):
+    if chosen.command in ("model", "compare"):
         return model.run(chosen)
+    if chosen.command == "load":
+        return load.run(chosen)
     if chosen.command == "ctl":
         return ctl.run(chosen)
     if chosen.command == "agent":
--- /dev/null
+++ b/dunepulley/load/check.py
@@ -0,0 +1,193 @@
+"""The four rules, checked in the record of a run against real dispatchers.
+
+What a fault takes away is not held against anybody: an item whose dispatcher is killed or stands still, or
+whose client is cut off from it, is not lost by it; a change of the list counts as told only once the
+dispatcher runs and can hear it.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from dunepulley.model.day import LINKS, Day, zone_of
+from dunepulley.model.rules import Rules
+
+# Up to so long after its time an answer only earns nothing; later, or never, the item is lost.
+ANSWER_SLACK_MS = 500.0
+# Each time limit is longer by this on sockets.
+SLACK_MS = 50.0
+# News counts as told so long after discovery can be reached again.
+TOLD_MS = 6000.0
+CLIENTS, DISCOVERY = "clients", "discovery"
+
+
+class Span(NamedTuple):
+    """From when to when something held, and between whom (one name for a process)."""
+
+    first: float
+    last: float
+    who: frozenset[str]
+
+
+class Place(NamedTuple):
+    """A worker as the rules look at it."""
+
+    name: str
+    zone: str
+    cell: str
+    since: float = 0.0
+    speed: float = 1.0
+    slots: int = 1
+    factors: dict[str, float] = {}  # noqa: RUF012
+
+
+def spans_of(events: list[dict[str, Any]]) -> tuple[list[Span], list[Span]]:
+    """When links were at fault, and when processes were killed or stood still, until they served again."""
+    links, processes = [], []
+    begun: dict[Any, float] = {}
+    for event in events:
+        if event["event"] == "fault" and event["kind"] in LINKS:
+            for pair in event["pairs"]:
+                key = (event["number"], *sorted(pair))
+                if event["on"]:
+                    begun[key] = event["at"]
+                else:
+                    links.append(Span(begun.pop(key, 0.0), event["at"], frozenset(pair)))
+        elif event["event"] == "process":
+            name, what = event["name"], event["what"]
+            if what in ("killed", "stopped"):
+                begun.setdefault(name, event["at"])
+            elif what in ("ready", "goes on") and name in begun:
+                processes.append(Span(begun.pop(name), event["at"], frozenset([name])))
+    last = events[-1]["at"] if events else 0.0
+    for key, first in begun.items():
+        some, who = (processes, [key]) if isinstance(key, str) else (links, key[1:])
+        some.append(Span(first, last, frozenset(who)))
+    return links, processes
+
+
+class Checker:
+    """Reads a record from its first event to its last."""
+
+    def __init__(self, day: Day, events: list[dict[str, Any]]) -> None:
+        self.day, self.events = day, events
+        self.links, self.processes = spans_of(events)
+        self.rules = Rules(day._replace(drain_grace_ms=day.drain_grace_ms + SLACK_MS), ANSWER_SLACK_MS)
+        self.categories = {category.name: category for category in day.categories}
+        self.homes: dict[str, str] = {}
+        self.sent: dict[str, tuple[float, str]] = {}
+        self.category: dict[str, str] = {}
+        # Where hand-offs of an item have neither ended nor been given up.
+        self.out: dict[str, set[str]] = {}
+
+    def broken(self) -> list[str]:
+        """What went against a rule."""
+        for event in self.events:
+            reader = self.READERS.get(event["event"])
+            if reader is not None:
+                reader(self, event["at"], event)
+        for wi in [wi for wi in self.rules.owed if wi not in self.rules.answered and self._excused(wi)]:
+            del self.rules.owed[wi]
+        self.rules.end(float("inf"))
+        return self.rules.broken
+
+    def _during(self, spans: list[Span], who: set[str], first: float, last: float) -> list[Span]:
+        return [span for span in spans if span.who <= who and span.first <= last and span.last >= first]
+
+    def _excused(self, wi: str) -> bool:
+        """Whether a fault may have taken an item's answer away."""
+        at, home = self.sent[wi]
+        until = self.rules.owed[wi] + ANSWER_SLACK_MS
+        cut = self._during(self.links, {CLIENTS, home}, at, until)
+        return bool(cut or self._during(self.processes, {home}, at, until))
+
+    def _place(self, name: str, **more: Any) -> Place:
+        number = int(name[1:])
+        return Place(name, zone_of(self.day, number, self.day.workers), str(number % self.day.cells), **more)
+
+    def _read_sent(self, at: float, event: dict[str, Any]) -> None:
+        wi = event["wi"]
+        self.sent[wi], self.category[wi] = (at, event["to"]), event["category"]
+        self.rules.taken(at, wi, event["budget"])
+
+    def _read_answered(self, at: float, event: dict[str, Any]) -> None:
+        wi = event["wi"]
+        if event["how"] == "refused":
+            # Its connection was: nobody has taken it.
+            self.rules.owed.pop(wi, None)
+        elif event["how"] != "no answer" and not (at > self.rules.owed[wi] and self._excused(wi)):
+            self.rules.answer(at, wi)
+        elif event["how"] != "no answer":
+            self.rules.answered.add(wi)
+
+    def _read_arrived(self, at: float, event: dict[str, Any]) -> None:
+        wi, worker = event["wi"], event["worker"]
+        home = self.sent[wi][1]
+        told = self.rules.told.get((home, worker))
+        # Under a link that is at fault nobody sees when it was sent.
+        late = self._during(self.links, {home, worker}, told if told is not None else at, at)
+        if told is not None and not late:
+            self.rules.told[home, worker] = self._heard(home, told)
+            self.rules.sent(at, home, worker)
+        if "able" in event:
+            able = event["able"] / self.day.slots
+            place = self._place(worker, since=at, speed=able, slots=self.day.slots)
+            self.rules.arrives(at, place, event["work"])
+        out = self.out.setdefault(wi, set())
+        # One worker gets one hand-off of an item at a time, also where there may be copies elsewhere.
+        wrong = worker in out or (out and not self.day.second_copies)
+        if wrong and not self._during(self.links, {home, *out}, 0.0, at):
+            self.rules.break_("copies", f"{wi} was out at {', '.join(sorted(out))} and sent to {worker}")
+        out.add(worker)
+
+    def _heard(self, home: str, told: float) -> float:
+        """When what was written to a dispatcher can have been heard there."""
+        for span in sorted(self._during(self.processes, {home}, 0.0, float("inf"))):
+            told = span.last if span.first <= told <= span.last else told
+        for span in sorted(self._during(self.links, {home, DISCOVERY}, 0.0, float("inf"))):
+            told = span.last + TOLD_MS if span.first <= told <= span.last + TOLD_MS else told
+        return told
+
+    def _read_began(self, at: float, event: dict[str, Any]) -> None:
+        wi = event["wi"]
+        self.rules.began(at, wi, self.categories[self.category[wi]], self._place(event["worker"]))
+
+    def _read_end(self, at: float, event: dict[str, Any]) -> None:
+        self.out.get(event["wi"], set()).discard(event["worker"])
+
+    def _read_listed(self, at: float, event: dict[str, Any]) -> None:
+        for worker, state in event["workers"].items():
+            self.rules.listed(at, event["to"], worker, state)
+
+    def _read_process(self, at: float, event: dict[str, Any]) -> None:
+        if event["what"] in ("killed", "ended"):
+            # Who starts anew has been told nothing yet.
+            for key in [key for key in self.rules.told if key[0] == event["name"]]:
+                del self.rules.told[key]
+
+    def _read_worker(self, at: float, event: dict[str, Any]) -> None:
+        if event["what"] == "falls silent":
+            for out in self.out.values():
+                out.discard(event["name"])
+
+    READERS = {
+        "sent": _read_sent,
+        "answered": _read_answered,
+        "arrived": _read_arrived,
+        "began": _read_began,
+        "full": _read_end,
+        "finished": _read_end,
+        "lost": _read_end,
+        "given up": _read_end,
+        "listed": _read_listed,
+        "process": _read_process,
+        "worker": _read_worker,
+    }
+
+
+def broken_in(day: Day, events: list[dict[str, Any]]) -> list[str]:
+    """What a run went against; raises ValueError where the record is not of this day."""
+    try:
+        return Checker(day, events).broken()
+    except (KeyError, TypeError, AttributeError) as problem:
+        raise ValueError(f"the record is of another day, or no record: {problem!r}") from problem
--- a/dunepulley/load/links.py
+++ b/dunepulley/load/links.py
@@ -12,8 +12,6 @@
 import random
 from collections.abc import Callable
 
-from dunepulley.net.config import address_of
-
 # A lost segment is sent again after about so long.
 AGAIN_MS = 200.0
 MOST = 65536
@@ -98,7 +96,8 @@
                 return
             # Who comes while the way there is cut does not reach the target.
             await self.ways[THERE].whole.wait()
-            far, other = await asyncio.open_connection(*address_of(self.target))
+            host, _, port = self.target.rpartition(":")
+            far, other = await asyncio.open_connection(host, int(port))
             self.writers.add(other)
             there = asyncio.create_task(self._carry(reader, other, self.ways[THERE]))
             back = asyncio.create_task(self._carry(far, writer, self.ways[BACK]))
--- a/dunepulley/load/local.py
+++ b/dunepulley/load/local.py
@@ -6,7 +6,7 @@
 import contextlib
 import json
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import aiohttp
@@ -37,11 +37,11 @@
         return self.loop.call_at(when / 1000.0, what)
 
 
-async def serve(handler: Any) -> tuple[web.ServerRunner, str]:
-    """A server at a port of its own; whoever starts it cleans it up. Its address."""
-    runner = web.ServerRunner(web.Server(handler, access_log=None), shutdown_timeout=0.1)
+async def serve(server: web.Server, port: int = 0) -> tuple[web.ServerRunner, str]:
+    """Have a server listen, at a port of its own or at this one; its address. Who starts it cleans it up."""
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    await web.TCPSite(runner, "127.0.0.1", port, reuse_address=bool(port)).start()
     return runner, f"127.0.0.1:{runner.addresses[0][1]}"
 
 
@@ -79,10 +79,16 @@
         self.members = members
         self.revision = 1
         self.changed = asyncio.Event()
+        # Called with the list once it is written to whoever watches.
+        self.wrote: Callable[[list[dict[str, Any]]], None] = lambda members: None
 
     def change(self, worker: str, **figures: Any) -> None:
         """Tell another phase, start or size of a worker."""
-        self.members = [each | figures if each["id"] == worker else each for each in self.members]
+        self.replace([each | figures if each["id"] == worker else each for each in self.members])
+
+    def replace(self, members: list[dict[str, Any]]) -> None:
+        """Tell another list."""
+        self.members = members
         self.revision += 1
         # Each watch waits for the event that it saw last.
         self.changed.set()
@@ -95,11 +101,13 @@
         told = 0
         with contextlib.suppress(ConnectionError):
             while True:
-                line, changed = b"", self.changed
-                if told != self.revision:
-                    told = self.revision
-                    line = json.dumps({"revision": told, "complete": True, "members": self.members}).encode()
+                changed, members, new = self.changed, self.members, told != self.revision
+                told, line = self.revision, b""
+                if new:
+                    line = json.dumps({"revision": told, "complete": True, "members": members}).encode()
                 await answer.write(line + b"\n")
+                if new:
+                    self.wrote(members)
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(2.0):
                         await changed.wait()
@@ -110,7 +118,7 @@
 async def catalog(members: list[dict[str, Any]]) -> AsyncIterator[tuple[Catalog, str]]:
     """A discovery that tells these workers, and its address."""
     here = Catalog(members)
-    runner, address = await serve(here.watch)
+    runner, address = await serve(web.Server(here.watch, access_log=None))
     try:
         yield here, address
     finally:
--- a/dunepulley/load/play.py
+++ b/dunepulley/load/play.py
@@ -7,32 +7,37 @@
 import contextlib
 import functools
 import json
-import os
+import signal
 import sys
 import tempfile
 import time
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import aiohttp
 import numpy as np
-from aiohttp import web
 
-from dunepulley.load import trace
-from dunepulley.load.local import RealTime, call_back, discovery, free_ports, member, serve
+from dunepulley import interface as face
+from dunepulley.load import check, faults, trace
+from dunepulley.load.local import Catalog, RealTime, catalog, free_ports, member
+from dunepulley.load.processes import Processes
+from dunepulley.load.record import Record, RecordError, read
+from dunepulley.load.standins import StandIns, load_of
 from dunepulley.model import compare
 from dunepulley.model import day as days
-from dunepulley.model.worker import Job, Worker
+from dunepulley.model.plans import regions_of
+from dunepulley.model.worker import Worker
 from dunepulley.model.world import World, spread_out
 
-# What of a day can be played with sockets; the rest needs a list that changes.
-PLAYED = ("slow", "neighbour", "heavy", "late reports")
 READY_S = 30.0
 MOST_S = 600.0
 # Of a dispatcher's process; the day says nothing of it.
 SOCKETS = 1024
-# Before a callback that was not answered is sent again.
-PAUSE_S = 0.05
+# A client whose connection nobody takes tries so many other dispatchers.
+OTHERS = 2
+# What a worker's phase in discovery's list is to the rules.
+STATES = {"Ready": face.READY, "Terminating": face.LEAVING}
 
 
 class Due(NamedTuple):
@@ -47,92 +52,380 @@
     home: int
 
 
-class Workers:
-    """The day's workers behind sockets."""
+class Play:
+    """One run: stand-ins for all that dispatchers speak with, their processes, and what happened."""
 
-    def __init__(self, day: days.Day, world: World, due: dict[str, Due], listen: list[str]) -> None:
-        self.day, self.due, self.listen = day, due, listen
+    def __init__(self, day: days.Day, seed: int, due: dict[str, Due], world: World, folder: Path) -> None:
+        self.day, self.seed, self.due, self.world = day, seed, due, world
         self.time = RealTime()
-        self.workers = {
-            name: Worker(self.time, name, w.zone, w.kind, w.cell, w.slots, w.most, w.speed)
-            for name, w in world.workers.items()
-        }
-        self.jobs: dict[tuple[str, str], Job] = {}
-        self.shots: dict[str, list[tuple[float, dict[str, float]]]] = {name: [] for name in self.workers}
-        self.late = 0.0
-        self.runs: dict[str, int] = {}
-        self.runners: list[web.ServerRunner] = []
-        self.members: list[dict[str, Any]] = []
+        self.record = Record(lambda: self.time.now)
+        self.names = faults.Names(day)
+        self.faults = faults.Faults(faults.planned(day, seed), self.record, seed)
+        self.processes = Processes(folder)
+        self.standins = StandIns(self, self.time, day.cancel, day.tells_start)
+        self.chance = np.random.default_rng(seed)
+        count = len(self.names.homes)
+        ports = free_ports(2 * count + len(self.names.agents))
+        self.listen = dict(zip(self.names.homes, ports[:count], strict=True))
+        self.console = dict(zip(self.names.homes, ports[count : 2 * count], strict=True))
+        self.agents = dict(zip(self.names.agents, ports[2 * count :], strict=True))
+        # What each dispatcher's discovery tells, and the states of workers that were written to it.
+        self.catalogs: dict[str, Catalog] = {}
+        self.told: dict[str, dict[str, str]] = {name: {} for name in self.names.homes}
+        self.entries: dict[str, dict[str, Any]] = {}
+        self.list_late = self.reports_late = 0.0
+        self.shots: dict[str, list[tuple[float, dict[str, float]]]] = {name: [] for name in world.workers}
+        # Whose each request is by now: clients go elsewhere where nobody takes their connection.
+        self.home: dict[str, str] = {}
+        self.up: set[str] = set()
         self.tasks: set[asyncio.Task] = set()
 
-    async def __aenter__(self) -> Workers:
-        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-        for name, worker in self.workers.items():
-            runner, address = await serve(functools.partial(self._serve, worker))
-            self.runners.append(runner)
-            self.members.append(member(name, address, worker.zone, worker.kind, worker.cell))
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        for runner in self.runners:
-            await runner.cleanup()
-        await self.session.close()
-
-    async def _serve(self, worker: Worker, request: web.BaseRequest) -> web.Response:
-        if request.method == "DELETE":
-            job = self.jobs.get((worker.name, request.path.rpartition("/")[2]))
-            if job is not None:
-                worker.drop(job, self.day.cancel)
-            return web.Response(status=204)
-        if request.method != "POST":
-            return web.Response(status=404)
-        await request.read()
-        wi = request.headers.get("X-Call-Id", "")
-        due = self.due.get(wi)
-        if due is None:
-            return web.Response(status=400)
-        job = Job(wi, due.work, 1.0, functools.partial(self._tell, worker, wi, due.home))
-        if not worker.offer(job):
-            return web.Response(status=503, headers={"X-Rejected": "1"})
-        self.jobs[worker.name, wi] = job
-        return web.Response(status=202)
-
-    def _tell(self, worker: Worker, wi: str, home: int, what: str) -> None:
-        if what == "began":
-            self.runs[wi] = self.runs.get(wi, 0) + 1
-            if not self.day.tells_start:
-                return
-        told: dict[str, Any] = {"id": wi, "from": worker.name}
-        told["state"] = {"began": "started", "finished": "done"}.get(what, "lost")
-        if what == "finished":
-            told |= {"result": "made", "load": self._report(worker)}
-        if what != "began":
-            self.jobs.pop((worker.name, wi), None)
-        task = asyncio.create_task(call_back(self.session, self.listen[home], told, PAUSE_S))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    def _report(self, worker: Worker) -> dict[str, float]:
+    # ---------------------------------------------------------------- what stand-ins ask
+
+    def work_of(self, wi: str, headers: Any) -> float | None:
+        """What an item takes."""
+        due = self.due.get(wi.partition("-")[0])
+        return None if due is None or wi not in self.home else due.work
+
+    def callback_of(self, wi: str, worker: str) -> str:
+        """Where a dispatcher hears of an item."""
+        home = self.home[wi]
+        return self.faults.through(worker, home, f"127.0.0.1:{self.listen[home]}")
+
+    def happened(self, what: str, worker: str, wi: str, work: float) -> None:
+        """Write down what becomes of a hand-off."""
+        more = {}
+        one = self.standins.workers[worker]
+        if what == "arrived":
+            more["work"] = work
+            if one.since > 0.0 and self.time.now - one.since < self.day.cold_s * 1000.0:
+                more["able"] = one.speed * one.factors.get("cold", 1.0) * one.slots
+        self.record.note(what, worker=worker, wi=wi, **more)
+
+    def report_of(self, worker: Worker) -> dict[str, float]:
         """As in the model: refreshed now and then, some way behind."""
         now, shots = self.time.now, self.shots[worker.name]
         if not shots or now - shots[-1][0] >= self.day.report_period_ms:
-            told = worker.report()
-            shots.append((now, {"qps": told["rate"], "queue": told["queue"], "x0": told["x0"]}))
-        while len(shots) > 1 and shots[1][0] <= now - self.day.report_delay_ms - self.late:
+            shots.append((now, load_of(worker)))
+        while len(shots) > 1 and shots[1][0] <= now - self.day.report_delay_ms - self.reports_late:
             shots.pop(0)
         return shots[0][1]
 
-    def trouble(self, begin: float, world: World) -> None:
+    # ---------------------------------------------------------------- workers and the list
+
+    async def open(self, name: str, since: float) -> None:
+        """Have a worker's process listen, and note what the list is to tell of it."""
+        one = self.standins.workers.get(name)
+        if one is None:
+            w = self.world.workers[name]
+            one = Worker(self.time, name, w.zone, w.kind, w.cell, w.slots, w.most, w.speed)
+        address = await self.standins.open(one)
+        entry = member(name, address, one.zone, one.kind, one.cell)
+        self.entries[name] = entry | {"up_since_ms": since and since + self.faults.clocks.get(name, 0.0)}
+
+    def listed(self, me: str) -> list[dict[str, Any]]:
+        """The list as a dispatcher's discovery has it once all that is under way has come."""
+        mine = self.entries.values()
+        if self.day.way == days.FIXED:
+            mine = [each for each in mine if each["locality"] == self.names.homes[me]]
+        return [self._reached(me, each) for each in mine]
+
+    def _reached(self, me: str, entry: dict[str, Any]) -> dict[str, Any]:
+        return entry | {"host_port": self.faults.through(me, entry["id"], entry["host_port"])}
+
+    def _change(self, name: str) -> None:
+        """The list learns of a worker, and each dispatcher's discovery of that a while later."""
+        for me in self.catalogs:
+            late = self.day.list_delay_ms * float(self.chance.uniform(0.5, 1.5)) + self.list_late
+            self.time.at(self.time.now + late, functools.partial(self._tell, me, name))
+
+    def _tell(self, me: str, name: str) -> None:
+        entry, catalog = self.entries.get(name), self.catalogs[me]
+        if self.day.way == days.FIXED and self.world.workers[name].zone != self.names.homes[me]:
+            return
+        others = [each for each in catalog.members if each["id"] != name]
+        catalog.replace([*others, self._reached(me, entry)] if entry is not None else others)
+
+    def _wrote(self, me: str, members: list[dict[str, Any]]) -> None:
+        """Discovery has written its list to a dispatcher."""
+        states = {each["id"]: STATES[each["phase"]] for each in members}
+        told = self.told[me]
+        news = {name: state for name, state in states.items() if told.get(name) != state}
+        news |= {name: face.LEFT for name in told.keys() - states.keys()}
+        self.told[me] = states
+        if news:
+            self.record.note("listed", to=me, workers=news)
+
+    async def _happen(self, what: str, name: str) -> None:
+        """What becomes of a worker, as in the model."""
+        self.record.note("worker", name=name, what=what)
+        if what == "is to leave":
+            self.entries[name] = self.entries[name] | {"phase": "Terminating"}
+            self._change(name)
+        elif what == "falls silent":
+            self.standins.silence(name)
+        elif what == "crashes":
+            self.entries.pop(name, None)
+            await self.standins.crash(name)
+            self._change(name)
+        else:
+            await self.standins.shut(name)
+            one = self.standins.workers[name]
+            one.start()
+            self.shots[name].clear()
+            await self.open(name, time.time() * 1000.0)
+            one.warm(self.day.cold_from, self.day.cold_s * 1000.0)
+            self._change(name)
+
+    def trouble(self, begin: float) -> None:
         """Set up what goes wrong from a moment on, as in the model."""
-        for at, name, cause, factor in world.speeds:
-            self.time.at(begin + at, functools.partial(self.workers[name].set_factor, cause, factor))
+        workers = self.standins.workers
+        for at, name, cause, factor in self.world.speeds:
+            self.time.at(begin + at, functools.partial(workers[name].set_factor, cause, factor))
+        for at, what, name in self.world.happens:
+            self.time.at(begin + at, functools.partial(self._do, self._happen, what, name))
         for each in self.day.troubles:
-            if each.kind == "late reports":
+            if each.kind in ("late reports", "late list"):
+                which = "reports_late" if each.kind == "late reports" else "list_late"
                 for at, late in ((each.from_s, each.size), (each.to_s, 0.0)):
-                    self.time.at(begin + at * 1000.0, functools.partial(setattr, self, "late", late))
+                    self.time.at(begin + at * 1000.0, functools.partial(setattr, self, which, late))
+
+    def _do(self, what: Callable[..., Awaitable[None]], *more: Any) -> None:
+        task = asyncio.ensure_future(what(*more))
+        self.tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.record.note("fault of the tool", text=repr(task.exception()))
+
+    # ---------------------------------------------------------------- processes
+
+    def write(self, settings: dict[str, Any]) -> None:
+        """The files of dispatchers and agents."""
+        folder = self.processes.folder
+        common = self.day.way == days.COMMON
+        for me, name in enumerate(self.names.homes):
+            agent = self.faults.through(name, faults.DISCOVERY, self.found[name])
+            more: dict[str, Any] = {"listen": f"127.0.0.1:{self.listen[name]}", "discovery": agent}
+            more["known"] = {"revision": 1, "complete": True, "members": self.listed(name)}
+            if common:
+                more |= {"console": f"127.0.0.1:{self.console[name]}", "plan": True}
+            told = told_of(self.day, self.seed, me, settings, **more)
+            (folder / f"{name}.json").write_text(json.dumps(told))
+        for name, zone in self.names.agents.items():
+            (folder / f"{name}.toml").write_text(self._agent(name, zone))
+        if common and self.day.regions:
+            (folder / "regions.toml").write_text(regions_text(self.day))
+
+    def _agent(self, name: str, zone: str) -> str:
+        lines = [f'listen = "127.0.0.1:{self.agents[name]}"', f'state = "{name}-drains.json"']
+        lines.append("answer_s = 1.0")
+        for one in [one for one, home in self.names.homes.items() if home == zone]:
+            console = self.faults.through(name, one, f"127.0.0.1:{self.console[one]}")
+            lines += ["[[dispatcher]]", f'name = "{one}"', f'console = "{console}"']
+        lines += ["[fleet]", f'name = "{name}"', f'votes = "{name}.votes"']
+        if self.day.regions:
+            lines.append('regions = "regions.toml"')
+        for other, port in self.agents.items():
+            address = f"127.0.0.1:{port}"
+            if other != name:
+                address = self.faults.through(name, other, address)
+            lines += ["[[fleet.member]]", f'name = "{other}"', f'address = "{address}"']
+        return "\n".join(lines) + "\n"
+
+    async def start(self, name: str, first: bool = False) -> None:
+        """Start a dispatcher or an agent, and wait until it serves."""
+        if name in self.names.agents:
+            words = ("agent", "--config", f"{name}.toml", *(("--new-votes",) if first else ()))
+            await self.processes.run(name, "dunepulley", *words)
+            self.record.note("process", name=name, what="ready")
+            return
+        await self.processes.run(name, "dunepulley", "serve", "--config", f"{name}.json")
+        self.record.note("process", name=name, what="started")
+        if not first:
+            await self.serves(name)
+
+    async def serves(self, name: str) -> None:
+        """Wait until a dispatcher says that it takes work."""
+        process = self.processes.processes[name]
+        async with asyncio.timeout(READY_S):
+            while True:
+                if process.returncode is not None:
+                    raise RuntimeError(f"{name} ended: {self.processes.log(name).strip()[-200:]}")
+                with contextlib.suppress(aiohttp.ClientError, OSError):
+                    async with self.session.get(f"http://127.0.0.1:{self.listen[name]}/_health") as told:
+                        if told.status == 200:
+                            break
+                await asyncio.sleep(0.05)
+        self.up.add(name)
+        self.record.note("process", name=name, what="ready")
+
+    async def _wait(self, until: float) -> None:
+        await asyncio.sleep(max(0.0, until - asyncio.get_running_loop().time()))
+
+    async def _kill(self, name: str, until: float) -> None:
+        self.up.discard(name)
+        self.processes.signal(name, signal.SIGKILL)
+        self.record.note("process", name=name, what="killed")
+        await self.processes.processes[name].wait()
+        await self._wait(until)
+        await self._again(name)
+
+    async def _end(self, name: str, until: float) -> None:
+        self.up.discard(name)
+        self.processes.signal(name, signal.SIGTERM)
+        self.record.note("process", name=name, what="told to end")
+        code = await self.processes.processes[name].wait()
+        self.record.note("process", name=name, what="ended", code=code)
+        await self._again(name)
+
+    async def _again(self, name: str) -> None:
+        """Start anew: who does has been told nothing yet."""
+        self.told[name] = {}
+        await self.start(name)
+
+    async def _stop(self, name: str, until: float) -> None:
+        self.processes.signal(name, signal.SIGSTOP)
+        self.record.note("process", name=name, what="stopped")
+        await self._wait(until)
+        self.processes.signal(name, signal.SIGCONT)
+        self.record.note("process", name=name, what="goes on")
+
+    # ---------------------------------------------------------------- clients
+
+    async def ask(self, wi: str, item: Due, name: str) -> str:
+        """Send one request and wait for its answer; its status, 'no answer', or 'refused' connections."""
+        self.home[wi] = name
+        self.record.note("sent", wi=wi, to=name, category=item.category, budget=item.budget)
+        headers = {"X-Call-Id": wi, "X-Budget-Ms": str(max(1, int(item.budget))), "Idempotency-Key": wi}
+        if item.hint:
+            headers["X-Call-Cost"] = str(int(item.hint * 1000.0))
+        address = self.faults.through(faults.CLIENTS, name, f"127.0.0.1:{self.listen[name]}")
+        url, body = f"http://{address}/{item.category}/{wi}", b"x" * item.size
+        how = "again"
+        while how == "again":
+            over: dict[str, bool] = {}
+            try:
+                async with (
+                    asyncio.timeout(item.budget / 1000.0 + 1.0),
+                    self.session.post(url, data=body, headers=headers, trace_request_ctx=over) as told,
+                ):
+                    await told.read()
+                    how = str(told.status)
+            except aiohttp.ClientConnectorError:
+                how = "refused"
+            except (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError):
+                # Closed between two requests: what crossed that is sent once more, over a new connection.
+                how = "again" if over.get("kept") else "no answer"
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                how = "no answer"
+        self.record.note("answered", wi=wi, how=how)
+        return how
+
+    def others(self, name: str) -> list[str]:
+        """Where a client goes instead: dispatchers that serve, of its own zone first."""
+        homes = self.names.homes
+        some = sorted(self.up - {name}, key=lambda one: (homes[one] != homes[name], int(one[1:])))
+        return some[:OTHERS]
+
+    async def send(self, begin: float) -> dict[str, Any]:
+        """All items at their times, whatever becomes of those before; what clients saw."""
+        loop, due = asyncio.get_running_loop(), self.due
+        categories = {category.name: category for category in self.day.categories}
+        answers: dict[str, int] = {}
+        took: list[float] = []
+        lags: list[float] = []
+        asked = earned = 0.0
+
+        async def one(base: str, item: Due) -> None:
+            nonlocal earned
+            category, home = categories[item.category], f"n{item.home}"
+            at = begin + item.at / 1000.0
+            lags.append((loop.time() - at) * 1000.0)
+            how = await self.ask(base, item, home)
+            for number, other in enumerate(self.others(home) if how == "refused" else (), 1):
+                how = await self.ask(f"{base}-{number}", item, other)
+                if how != "refused":
+                    break
+            answers[how] = answers.get(how, 0) + 1
+            if how == "200":
+                # From when it was due, however late it could be sent.
+                passed = (loop.time() - at) * 1000.0
+                took.append(passed)
+                earned += category.payoff * (passed <= category.due_ms + category.stretch * item.work)
+
+        tasks = []
+        for wi, item in sorted(due.items(), key=lambda pair: pair[1].at):
+            asked += categories[item.category].payoff
+            await asyncio.sleep(max(0.0, begin + item.at / 1000.0 - loop.time()))
+            tasks.append(asyncio.create_task(one(wi, item)))
+        await asyncio.gather(*tasks)
+        return {
+            "payoff": earned / asked if asked else 1.0,
+            "items": len(due),
+            "answers": answers,
+            "answered after ms": percentiles(took),
+            "sent late by ms": percentiles(lags),
+        }
+
+    async def run(self, settings: dict[str, Any]) -> dict[str, Any]:
+        """The whole run; nothing of it is left behind."""
+        self.record.begin = self.time.now
+        async with contextlib.AsyncExitStack() as stack:
+            trace_kept = aiohttp.TraceConfig()
+            trace_kept.on_connection_reuseconn.append(kept)
+            connector = aiohttp.TCPConnector(limit=0)
+            session = aiohttp.ClientSession(connector=connector, trace_configs=[trace_kept])
+            self.session = await stack.enter_async_context(session)
+            await stack.enter_async_context(self.standins)
+            await stack.enter_async_context(self.faults)
+            stack.push_async_callback(self.processes.close)
+            for name in self.world.workers:
+                await self.open(name, 0.0)
+            self.found: dict[str, str] = {}
+            for name in self.names.homes:
+                here, self.found[name] = await stack.enter_async_context(catalog(self.listed(name)))
+                here.wrote = functools.partial(self._wrote, name)
+                self.catalogs[name] = here
+            self.write(settings)
+            for name in (*self.names.homes, *self.names.agents):
+                await self.start(name, first=True)
+            await asyncio.gather(*[self.serves(name) for name in self.names.homes])
+            begin = asyncio.get_running_loop().time() + 0.1
+            self.record.note("clients begin")
+            self.trouble(begin * 1000.0)
+            self.faults.start(begin, {"kill": self._kill, "end": self._end, "stop": self._stop})
+            found = await self.send(begin)
+            # What a day's faults still owe (a process that comes back) is waited for, and read with the rest.
+            await asyncio.gather(*self.faults.tasks)
+            for task in self.tasks:
+                task.cancel()
+            crashed = [name for name in self.up if self.processes.processes[name].returncode is not None]
+        broken = check.broken_in(self.day, self.record.events)
+        broken += [f"crash: {name}: {self.processes.log(name).strip()[-200:]}" for name in crashed]
+        return found | {"broken": broken, "seed": self.seed}
+
+
+async def kept(session: aiohttp.ClientSession, context: Any, params: Any) -> None:
+    """Note that a request goes over a connection that was at hand."""
+    if context.trace_request_ctx is not None:
+        context.trace_request_ctx["kept"] = True
+
+
+def percentiles(some: list[float]) -> list[float]:
+    """The median and the 99th percentile; nothing of nothing."""
+    return [round(float(np.percentile(some, at)), 1) for at in (50, 99)] if some else []
+
+
+def regions_text(day: days.Day) -> str:
+    """The operators' file of the day's regions."""
+    lines = []
+    for region in regions_of(day.zones, day.regions).regions:
+        lines += ["[[region]]", f'name = "{region.name}"']
+        lines += [f"zones = {json.dumps(region.zones)}", f"near = {json.dumps(region.near)}"]
+    return "\n".join(lines) + "\n"
 
 
 def due_of(day: days.Day, world: World) -> dict[str, Due]:
@@ -185,98 +478,29 @@
 
 
 async def play(
-    day: days.Day, seed: int, settings: dict[str, Any], came: list[trace.Came] | None
+    day: days.Day,
+    seed: int,
+    settings: dict[str, Any],
+    came: list[trace.Came] | None,
+    record: tuple[str, str] | None = None,
 ) -> dict[str, Any]:
-    """One run; what clients saw."""
+    """One run; what clients saw, and what went against a rule.
+
+    `record` is where to write it down, and of which day; raises RecordError where that cannot be done.
+    """
     world = World(day, seed)
     due = due_of(day, world) if came is None else due_of_trace(day, came, seed)
-    listen = [f"127.0.0.1:{port}" for port in free_ports(day.dispatchers)]
     with tempfile.TemporaryDirectory() as folder:
-        async with Workers(day, world, due, listen) as workers, discovery(workers.members) as agent:
-            processes = []
-            try:
-                for me in range(day.dispatchers):
-                    known = {"revision": 1, "complete": True, "members": workers.members}
-                    addresses = {"listen": listen[me], "discovery": agent}
-                    told = told_of(day, seed, me, settings, known=known, **addresses)
-                    path = Path(folder) / f"n{me}.json"
-                    path.write_text(json.dumps(told))
-                    command = [sys.executable, "-m", "dunepulley", "serve", "--config", str(path)]
-                    with open(Path(folder) / f"n{me}.log", "wb") as log:
-                        environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
-                        processes.append(
-                            await asyncio.create_subprocess_exec(*command, stderr=log, env=environment)
-                        )
-                return await _send(day, world, due, listen, workers) | {"seed": seed}
-            finally:
-                for process in processes:
-                    with contextlib.suppress(ProcessLookupError):
-                        process.kill()
-                await asyncio.gather(*[process.wait() for process in processes])
-
-
-async def _send(
-    day: days.Day, world: World, due: dict[str, Due], listen: list[str], workers: Workers
-) -> dict[str, Any]:
-    loop = asyncio.get_running_loop()
-    categories = {category.name: category for category in day.categories}
-    answers: dict[str, int] = {}
-    took: list[float] = []
-    lags: list[float] = []
-    asked = earned = 0.0
-    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
-        async with asyncio.timeout(READY_S):
-            for address in listen:
-                while True:
-                    with contextlib.suppress(aiohttp.ClientError, OSError):
-                        async with session.get(f"http://{address}/_health") as told:
-                            if told.status == 200:
-                                break
-                    await asyncio.sleep(0.05)
-        begin = loop.time() + 0.1
-        workers.trouble(begin * 1000.0, world)
-
-        async def one(wi: str, item: Due) -> None:
-            nonlocal earned
-            category = categories[item.category]
-            at = begin + item.at / 1000.0
-            lags.append((loop.time() - at) * 1000.0)
-            headers = {"X-Call-Id": wi, "X-Budget-Ms": str(max(1, int(item.budget))), "Idempotency-Key": wi}
-            if item.hint:
-                headers["X-Call-Cost"] = str(int(item.hint * 1000.0))
-            url, body = f"http://{listen[item.home]}/{item.category}/{wi}", b"x" * item.size
-            try:
-                async with (
-                    asyncio.timeout(item.budget / 1000.0 + 1.0),
-                    session.post(url, data=body, headers=headers) as told,
-                ):
-                    await told.read()
-                    how = str(told.status)
-            except (aiohttp.ClientError, OSError, TimeoutError):
-                how = "no answer"
-            answers[how] = answers.get(how, 0) + 1
-            if how == "200":
-                # From when it was due, however late it could be sent.
-                passed = (loop.time() - at) * 1000.0
-                took.append(passed)
-                earned += category.payoff * (passed <= category.due_ms + category.stretch * item.work)
-
-        tasks = []
-        for wi, item in sorted(due.items(), key=lambda pair: pair[1].at):
-            asked += categories[item.category].payoff
-            await asyncio.sleep(max(0.0, begin + item.at / 1000.0 - loop.time()))
-            tasks.append(asyncio.create_task(one(wi, item)))
-        await asyncio.gather(*tasks)
-    twice = [wi for wi, runs in workers.runs.items()
-             if runs > 1 and categories[due[wi].category].effect == "exclusive"]  # fmt: skip
-    return {
-        "payoff": earned / asked if asked else 1.0,
-        "items": len(due),
-        "answers": answers,
-        "answered after ms": [round(float(np.percentile(took, at)), 1) for at in (50, 99)] if took else [],
-        "sent late by ms": [round(float(np.percentile(lags, at)), 1) for at in (50, 99)],
-        "broken": [f"twice: {wi}" for wi in twice],
-    }
+        one = Play(day, seed, due, world, Path(folder))
+        task = asyncio.current_task()
+        # Told to end by whom it may be, it still ends what it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        try:
+            return await one.run(settings)
+        finally:
+            asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
+            if record is not None:
+                one.record.write(*record, seed)
 
 
 def run(chosen: argparse.Namespace) -> int:
@@ -285,28 +509,46 @@
         day = days.read(chosen.day)
         settings = compare.settings_in(chosen.settings) if chosen.settings else {}
         came = trace.read(chosen.trace) if chosen.trace else None
-        odd = [each.kind for each in day.troubles if each.kind not in PLAYED]
-        if odd:
-            raise ValueError(f"{chosen.day}: {odd[0]} can be played in the model only")
-        longest = max(day.seconds, came[-1].at / 1000.0 if came else 0.0)
+        if chosen.check:
+            return _tell_broken(check.broken_in(day, read(chosen.check)))
+        for seed in chosen.seeds:
+            faults.planned(day, seed)
+        longest = max([day.seconds, came[-1].at / 1000.0 if came else 0.0, *[f.to_s for f in day.faults]])
         if longest > MOST_S:
             raise ValueError(f"{longest:g} s are more than the {MOST_S:g} s that are played")
-    except (days.UnusableError, trace.TraceError, ValueError) as problem:
+        if chosen.record and len(chosen.seeds) > 1:
+            raise ValueError("a record is of one seed")
+        if day.way == days.COMMON and day.dispatchers < day.zones:
+            raise ValueError(f"{chosen.day}: each zone's agent needs a dispatcher")
+    except (days.UnusableError, trace.TraceError, RecordError, ValueError) as problem:
         print(f"dunepulley: {problem}", file=sys.stderr)
         return 2
     found = []
     for seed in chosen.seeds:
         begun = time.monotonic()
         try:
-            found.append(asyncio.run(play(day, seed, settings, came)))
-        except trace.TraceError as problem:
-            print(f"dunepulley: {chosen.trace}: {problem}", file=sys.stderr)
+            record = (chosen.record, chosen.day) if chosen.record else None
+            found.append(asyncio.run(play(day, seed, settings, came, record)))
+        except (trace.TraceError, RecordError) as problem:
+            print(f"dunepulley: {problem}", file=sys.stderr)
+            return 2
+        except (asyncio.CancelledError, KeyboardInterrupt):
+            print("dunepulley: told to end; what was started has ended", file=sys.stderr)
             return 2
         if not chosen.json:
             one = found[-1]
             print(f"seed {seed:<5} payoff {one['payoff']:.4f}  {one['answers']}", end="  ")
             print(f"answered after {one['answered after ms']} ms", end=", ")
             print(f"sent late by {one['sent late by ms']} ms, {time.monotonic() - begun:.0f} s")
+            for each in one["broken"]:
+                print(f"  broken, {each}")
     if chosen.json:
         print(json.dumps(found, indent=2))
     return 1 if any([one["broken"] for one in found]) else 0
+
+
+def _tell_broken(broken: list[str]) -> int:
+    for each in broken:
+        print(f"broken, {each}")
+    print(f"{len(broken)} breaks told")
+    return 1 if broken else 0
--- a/bench/processes.py
+++ b/dunepulley/load/processes.py
@@ -1,14 +1,27 @@
-"""Processes of a measurement's own, each with a log in one folder: started by name, signalled, all ended."""
+"""Processes of our own, each with a log in one folder: started by name, signalled, all ended.
+
+None of them outlives who started it, also where that is killed: the kernel ends them then.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import ctypes
 import os
 import signal
 import sys
 from pathlib import Path
 
+ROOT = Path(__file__).parents[2]
+LIBC = ctypes.CDLL(None)
+# From the kernel's prctl.h: a signal for when the parent is gone.
+PR_SET_PDEATHSIG = 1
+
+
+def _end_with_parent() -> None:
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
 
 class Processes:
     """All that one measurement started; `close` ends them, also those that were stopped."""
@@ -23,10 +36,16 @@
             self.processes[name] = await asyncio.create_subprocess_exec(
                 *[sys.executable, "-m", *words],
                 cwd=self.folder,
-                env=os.environ | {"PYTHONPATH": str(Path(__file__).parents[1])},
+                env=os.environ | {"PYTHONPATH": os.pathsep.join([str(ROOT), *sys.path])},
                 stderr=log,
+                preexec_fn=_end_with_parent,
             )
 
+    def log(self, name: str) -> str:
+        """What one has said so far."""
+        path = self.folder / f"{name}.log"
+        return path.read_text(errors="replace") if path.exists() else ""
+
     def signal(self, name: str, number: int) -> None:
         """Send a signal to one of our own processes."""
         with contextlib.suppress(ProcessLookupError):
--- /dev/null
+++ b/dunepulley/load/standins.py
@@ -0,0 +1,154 @@
+"""Stand-in workers: the model's workers in real time, behind sockets, speaking the workers' protocol.
+
+One process holds any number of them. They serve the load tool, the measurements in `bench/` and their tests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from typing import Any, Protocol
+
+import aiohttp
+from aiohttp import web
+
+from dunepulley.load.local import RealTime, call_back, serve
+from dunepulley.model.worker import Job, Worker
+
+# Before a callback that was not answered is sent again.
+PAUSE_S = 0.05
+# What callbacks tell of what a job tells.
+STATES = {"began": "started", "finished": "done"}
+
+
+class Site(Protocol):
+    """What stand-ins are part of: whose work it is, and who writes down what happens."""
+
+    def work_of(self, wi: str, headers: Any) -> float | None:
+        """What an item takes at a worker of speed 1, in ms; none for an id that no client sent."""
+
+    def callback_of(self, wi: str, worker: str) -> str:
+        """The address at which the dispatcher of an item hears of it, from this worker."""
+
+    def happened(self, what: str, worker: str, wi: str, work: float) -> None:
+        """Of a hand-off: 'arrived', 'full', 'began', 'finished', 'lost' or 'given up'."""
+
+    def report_of(self, worker: Worker) -> dict[str, float] | None:
+        """The load report that the end of an item carries, if any."""
+
+
+class StandIns:
+    """Workers behind sockets; whoever enters them closes them."""
+
+    def __init__(
+        self,
+        site: Site,
+        time: RealTime,
+        cancels: bool = True,
+        tells_start: bool = True,
+        pause_s: float = PAUSE_S,
+    ) -> None:
+        self.site, self.time = site, time
+        self.cancels, self.tells_start, self.pause_s = cancels, tells_start, pause_s
+        self.workers: dict[str, Worker] = {}
+        self.addresses: dict[str, str] = {}
+        self.jobs: dict[tuple[str, str], Job] = {}
+        self.servers: dict[str, tuple[web.Server, web.ServerRunner]] = {}
+        self.silent: set[str] = set()
+        self.tasks: set[asyncio.Task] = set()
+
+    async def __aenter__(self) -> StandIns:
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for name in list(self.servers):
+            await self.shut(name)
+        await self.session.close()
+
+    # ---------------------------------------------------------------- their lives
+
+    async def open(self, worker: Worker, port: int = 0) -> str:
+        """Have a worker listen, at a port of its own or at this one; its address."""
+        self.workers[worker.name] = worker
+        self.silent.discard(worker.name)
+        server = web.Server(functools.partial(self._serve, worker), access_log=None)
+        runner, address = await serve(server, port)
+        self.servers[worker.name] = server, runner
+        self.addresses[worker.name] = address
+        return address
+
+    async def shut(self, name: str) -> None:
+        """End a worker's process: connections break, and new ones are refused."""
+        server, runner = self.servers.pop(name, (None, None))
+        if server is not None:
+            for handler in list(server.connections):
+                if handler.transport is not None:
+                    handler.transport.abort()
+            await runner.cleanup()
+
+    async def crash(self, name: str) -> None:
+        """A worker dies, and all that it has with it; its machine's agent tells of that."""
+        self.workers[name].crash()
+        await self.shut(name)
+
+    def silence(self, name: str) -> None:
+        """A worker's machine vanishes: connections stay open and nothing is answered."""
+        self.silent.add(name)
+        self.workers[name].silence()
+
+    # ---------------------------------------------------------------- hand-offs
+
+    async def _serve(self, worker: Worker, request: web.BaseRequest) -> web.Response:
+        if worker.name in self.silent:
+            await asyncio.Event().wait()
+        if request.method == "DELETE":
+            wi = request.path.rpartition("/")[2]
+            job = self.jobs.get((worker.name, wi))
+            if job is not None:
+                self.site.happened("given up", worker.name, wi, 0.0)
+                if worker.drop(job, self.cancels):
+                    del self.jobs[worker.name, wi]
+            return web.Response(status=204)
+        if request.method != "POST":
+            return web.Response(status=404)
+        await request.read()
+        wi = request.headers.get("X-Call-Id", "")
+        work = self.site.work_of(wi, request.headers)
+        if work is None:
+            return web.Response(status=400)
+        self.site.happened("arrived", worker.name, wi, work)
+        job = Job(wi, work, 1.0, functools.partial(self._tell, worker, wi, work))
+        # Known before it begins: its first word may come at once.
+        self.jobs[worker.name, wi] = job
+        if not worker.offer(job):
+            del self.jobs[worker.name, wi]
+            self.site.happened("full", worker.name, wi, work)
+            return web.Response(status=503, headers={"X-Rejected": "1"})
+        return web.Response(status=202)
+
+    def _tell(self, worker: Worker, wi: str, work: float, what: str) -> None:
+        self.site.happened(what, worker.name, wi, work)
+        if what == "began" and not self.tells_start:
+            return
+        told: dict[str, Any] = {"id": wi, "from": worker.name, "state": STATES.get(what, "lost")}
+        if what == "finished":
+            told["result"] = "made"
+            report = self.site.report_of(worker)
+            if report is not None:
+                told["load"] = report
+        if what != "began":
+            self.jobs.pop((worker.name, wi), None)
+        address = self.site.callback_of(wi, worker.name)
+        task = asyncio.create_task(call_back(self.session, address, told, self.pause_s))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def load_of(worker: Worker) -> dict[str, float]:
+    """A worker's figures as a load report names them."""
+    told = worker.report()
+    return {"qps": told["rate"], "queue": told["queue"], "x0": told["x0"]}
--- a/dunepulley/model/command.py
+++ b/dunepulley/model/command.py
@@ -1,4 +1,4 @@
-"""The arguments of `model`, `compare` and `load`; what they run is loaded only then."""
+"""The arguments of `model` and `compare`; what they run is loaded only then."""
 
 from __future__ import annotations
 
@@ -29,12 +29,6 @@
         command.add_argument("--seeds", type=seeds_of, default=usual, help="such as 1-20 (usual: 1-10)")
         command.add_argument("--processes", type=int, default=os.cpu_count() or 1)
         command.add_argument("--json", action="store_true")
-    load = commands.add_parser("load", help="play a day or a trace against real dispatchers on loopback")
-    load.add_argument("day", help="the day's description, a TOML file")
-    load.add_argument("--seeds", type=seeds_of, default=seeds_of("1"), help="such as 1-3 (usual: 1)")
-    load.add_argument("--trace", help="what a dispatcher recorded, in place of the day's traffic")
-    load.add_argument("--settings", help="settings over the day's own, a TOML file")
-    load.add_argument("--json", action="store_true")
     one.add_argument("--settings", help="settings over the day's own, a TOML file")
     for name in ("a", "b"):
         two.add_argument(f"--{name}", help=f"settings of {name} over the day's own, a TOML file")
@@ -45,9 +39,8 @@
 def run(chosen: argparse.Namespace) -> int:
     """Carry out one of them; the exit code."""
     try:
-        from dunepulley.load import play
         from dunepulley.model import compare
     except ImportError as problem:
         print(f"dunepulley: {problem}: pip install -r requirements-model.txt", file=sys.stderr)
         return 2
-    return play.run(chosen) if chosen.command == "load" else compare.run(chosen)
+    return compare.run(chosen)
--- a/dunepulley/model/compare.py
+++ b/dunepulley/model/compare.py
@@ -109,6 +109,8 @@
     """Carry out one of them; 1 where a rule was broken, 2 where the words or files cannot be used."""
     try:
         day = days.read(chosen.day)
+        if day.faults:
+            raise ValueError(f"{chosen.day}: fault {day.faults[0].kind} can be played on sockets only (load)")
         files = [chosen.settings] if chosen.command == "model" else [chosen.a, chosen.b]
         modules = [""] if chosen.command == "model" else [chosen.a_module, chosen.b_module]
         ways = [
--- a/dunepulley/model/day.py
+++ b/dunepulley/model/day.py
@@ -38,6 +38,24 @@
     size: float = 4.0
 
 
+class Fault(NamedTuple):
+    """What is done to links and processes, from when to when; played on sockets only.
+
+    `one` and `other` are the two ends of links, or `one` alone names processes: clients, dispatchers,
+    workers, discovery or agents, of one zone (`workers@z1`), or a single one (`n0`, `w3`). `part` of the
+    links or processes are drawn.
+    """
+
+    kind: str
+    from_s: float
+    to_s: float
+    one: str = "dispatchers"
+    other: str = ""
+    way: str = "both"
+    part: float = 1.0
+    size: float = 0.0
+
+
 class Day(NamedTuple):
     """All of a day."""
 
@@ -77,6 +95,7 @@
     hints: bool = True
     categories: tuple[Category, ...] = (Category("look"),)
     troubles: tuple[Trouble, ...] = ()
+    faults: tuple[Fault, ...] = ()
 
 
 # What each trouble's size means.
@@ -90,6 +109,21 @@
     "late list": "the list is so many ms later",
     "heavy": "this part of one category's items is so many times the work",
 }
+# What is done to links, with what its size means, to processes, and to clocks.
+LINKS = {
+    "cut": "nothing is carried, and what was sent arrives afterwards",
+    "slow": "all arrives so many ms later",
+    "lossy": "this part is sent again, 200 ms later",
+    "reset": "connections break, once",
+    "refuse": "connections break, and each new one at once",
+}
+PROCESSES = {
+    "kill": "ends at once, and is started again afterwards",
+    "end": "is told to end (SIGTERM), and is started again once it has",
+    "stop": "stands still",
+}
+CLOCK = "clock"
+WAYS = ("both", "there", "back")
 # How dispatchers go about zones.
 ALONE, FIXED, COMMON = "alone", "fixed", "common"
 EFFECTS = (face.RERUNNABLE, face.TICKETED, face.EXCLUSIVE)
@@ -118,8 +152,9 @@
     told = dict(told)
     categories = tuple([_made(Category, one, "category") for one in _tables(told, "category")])
     troubles = tuple([_made(Trouble, one, "trouble") for one in _tables(told, "trouble")])
+    faults = tuple([_made(Fault, one, "fault") for one in _tables(told, "fault")])
     day = _made(Day, told, "the day")
-    day = day._replace(categories=categories or day.categories, troubles=troubles)
+    day = day._replace(categories=categories or day.categories, troubles=troubles, faults=faults)
     for name, most in MOST.items():
         if getattr(day, name) > most:
             raise ValueError(f"{name} is {getattr(day, name)}, more than {most:g}")
@@ -141,9 +176,25 @@
             raise ValueError(f"trouble {trouble.kind!r} is none of {', '.join(TROUBLES)}")
         if not 0.0 <= trouble.from_s <= trouble.to_s or not 0.0 <= trouble.part <= 1.0:
             raise ValueError(f"trouble {trouble.kind}: its times or its part make no sense")
+    for fault in day.faults:
+        _check_fault(fault)
     return day
 
 
+def _check_fault(fault: Fault) -> None:
+    known = {**LINKS, **PROCESSES, CLOCK: ""}
+    if fault.kind not in known:
+        raise ValueError(f"fault {fault.kind!r} is none of {', '.join(known)}")
+    if not 0.0 <= fault.from_s <= fault.to_s or not 0.0 < fault.part <= 1.0:
+        raise ValueError(f"fault {fault.kind}: its times or its part make no sense")
+    if (fault.kind in LINKS) != bool(fault.other):
+        raise ValueError(f"fault {fault.kind}: links have an other end, and nothing else has")
+    if fault.way not in WAYS:
+        raise ValueError(f"fault {fault.kind}: way is {fault.way!r}, none of {', '.join(WAYS)}")
+    if fault.kind == "lossy" and fault.size > 1.0:
+        raise ValueError("fault lossy: its size is a part")
+
+
 def _tables(told: dict[str, Any], name: str) -> list[Any]:
     tables = told.pop(name, [])
     if not isinstance(tables, list):
@@ -157,7 +208,7 @@
         raise ValueError(f"{where} is no table")
     fields = {name: getattr(sort, "__name__", str(sort)) for name, sort in get_type_hints(kind).items()}
     for name, value in told.items():
-        if name not in fields or name in ("categories", "troubles"):
+        if name not in fields or name in ("categories", "troubles", "faults"):
             raise ValueError(f"{where} has {name}, which means nothing")
         wanted = {"float": (int, float), "int": int, "bool": bool, "str": str}[fields[name]]
         if not isinstance(value, wanted) or (fields[name] != "bool" and isinstance(value, bool)):
--- a/dunepulley/model/worker.py
+++ b/dunepulley/model/worker.py
@@ -6,6 +6,9 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+# A cold worker's speed is set anew so often.
+WARMING_MS = 500.0
+
 
 class Timeline(Protocol):
     """What tells the time, in ms, and calls when a moment has come."""
@@ -114,10 +117,30 @@
             job.over = True
             job.tell("lost")
 
+    def silence(self) -> None:
+        """Lose all that is here, and tell nobody."""
+        for job in (*self.running, *self.waiting):
+            job.tell = lambda what: None
+        self.crash()
+
     def start(self) -> None:
         """Be there, with nothing in hand."""
         self.up, self.since = True, self.timeline.now
 
+    def warm(self, cold_from: float, cold_ms: float) -> None:
+        """Begin with a part of the speed, and have all of it so many ms after the start."""
+        since = self.since
+
+        def step() -> None:
+            if self.since != since:
+                return
+            part = (self.timeline.now - since) / cold_ms
+            self.set_factor("cold", min(1.0, cold_from + (1.0 - cold_from) * part))
+            if part < 1.0:
+                self.timeline.at(self.timeline.now + WARMING_MS, step)
+
+        step()
+
     def report(self) -> dict[str, float]:
         """What it would tell of itself now."""
         now = self.timeline.now
--- a/dunepulley/model/world.py
+++ b/dunepulley/model/world.py
@@ -22,8 +22,6 @@
 STREAMS = ("arrivals", "works", "ways", "reports", "speeds", "troubles", "heavy")
 # A neighbour comes and goes about so often.
 ON_OFF_MS = 700.0
-# A cold worker's speed is set anew so often.
-WARMING_MS = 500.0
 # A hand-off to which nobody says anything is given up after so long.
 SILENT_MS = 500.0
 # Where simulated days begin: no worker has started at 0, which stands for long ago.
@@ -141,6 +139,8 @@
         self.planned: list[tuple[str, float, Category, float, int]] = []
         # Every change of a worker's speed by another's doing: when, whose, its cause, and the factor.
         self.speeds: list[tuple[float, str, str, float]] = []
+        # What becomes of workers: when, what (of HAPPENS), and whose.
+        self.happens: list[tuple[float, str, str]] = []
         self.items: dict[str, Item] = {}
         self.counts = dict.fromkeys(("in time", "late", "deferred", "written off", "hand-offs", "events"), 0)
         self.asked = self.earned = 0.0
@@ -456,20 +456,21 @@
                 self._speed(last, name, "neighbour", 1.0)
         elif trouble.kind == "zone":
             some = [name for name, worker in self.workers.items() if worker.zone == f"z{int(trouble.size)}"]
-            at(first, functools.partial(self._silence, some))
-            at(last, functools.partial(self._end_silence, some))
+            for name in some:
+                self._happens(first, "falls silent", name)
+                self._happens(last, "is heard", name)
         elif trouble.kind == "crash":
             for name in names:
-                at(first, functools.partial(self._crash, name))
-                at(first + trouble.size * 1000.0, functools.partial(self._return, name))
+                self._happens(first, "crashes", name)
+                self._happens(first + trouble.size * 1000.0, "returns", name)
         elif trouble.kind == "release":
             for number, name in enumerate(names):
                 begin = first + (last - first) * number / max(1, len(names))
-                at(begin, functools.partial(self._change, name, face.LEAVING))
+                self._happens(begin, "is to leave", name)
                 # Long enough for the list to be heard everywhere and what is there to end.
                 gone = begin + 2.0 * self.day.list_delay_ms + 2000.0
-                at(gone, functools.partial(self._crash, name))
-                at(gone + 500.0, functools.partial(self._return, name))
+                self._happens(gone, "crashes", name)
+                self._happens(gone + 500.0, "returns", name)
         elif trouble.kind in ("late reports", "late list"):
             name = "reports_late" if trouble.kind == "late reports" else "list_late"
             at(first, lambda: setattr(self, name, trouble.size))
@@ -479,18 +480,21 @@
         self.speeds.append((at - BEGIN, name, cause, factor))
         self.time.at(at, functools.partial(self.workers[name].set_factor, cause, factor))
 
-    def _silence(self, names: list[str]) -> None:
-        """Workers that say nothing any more; what they run is lost, and the list does not know."""
-        for name in names:
-            self.silent.add(name)
-            for job in (*self.workers[name].running, *self.workers[name].waiting):
-                job.tell = lambda what: None
-            self.workers[name].crash()
+    def _happens(self, at: float, what: str, name: str) -> None:
+        self.happens.append((at - BEGIN, what, name))
+        self.time.at(at, functools.partial(self.HAPPENS[what], self, name))
 
-    def _end_silence(self, names: list[str]) -> None:
-        for name in names:
-            self.silent.discard(name)
-            self._return(name)
+    def _leave(self, name: str) -> None:
+        self._change(name, face.LEAVING)
+
+    def _silence(self, name: str) -> None:
+        """A worker says nothing any more; what it runs is lost, and the list does not know."""
+        self.silent.add(name)
+        self.workers[name].silence()
+
+    def _end_silence(self, name: str) -> None:
+        self.silent.discard(name)
+        self._return(name)
 
     def _crash(self, name: str) -> None:
         self.workers[name].crash()
@@ -502,15 +506,15 @@
         worker.start()
         self.snapshots.pop(name, None)
         self._change(name, face.READY)
-        self._warm(worker, worker.since)
-
-    def _warm(self, worker: Worker, since: float) -> None:
-        if worker.since != since:
-            return
-        part = (self.time.now - since) / (self.day.cold_s * 1000.0)
-        worker.set_factor("cold", min(1.0, self.day.cold_from + (1.0 - self.day.cold_from) * part))
-        if part < 1.0:
-            self.time.at(self.time.now + WARMING_MS, lambda: self._warm(worker, since))
+        worker.warm(self.day.cold_from, self.day.cold_s * 1000.0)
+
+    HAPPENS = {
+        "falls silent": _silence,
+        "is heard": _end_silence,
+        "crashes": _crash,
+        "returns": _return,
+        "is to leave": _leave,
+    }
 
     # ---------------------------------------------------------------- the day
 
