--- a/dunepulley/load/standins.py
+++ b/dunepulley/load/standins.py
@@ -54,7 +54,8 @@
         self.addresses: dict[str, str] = {}
         self.jobs: dict[tuple[str, str], Job] = {}
         self.servers: dict[str, tuple[web.Server, web.ServerRunner]] = {}
-        self.silent: set[str] = set()
+        # Those whose machines have vanished, and what ends the wait of who calls them.
+        self.silent: dict[str, asyncio.Event] = {}
         self.tasks: set[asyncio.Task] = set()
 
     async def __aenter__(self) -> StandIns:
@@ -74,7 +75,6 @@
     async def open(self, worker: Worker, port: int = 0) -> str:
         """Have a worker listen, at a port of its own or at this one; its address."""
         self.workers[worker.name] = worker
-        self.silent.discard(worker.name)
         server = web.Server(functools.partial(self._serve, worker), access_log=None)
         runner, address = await serve(server, port)
         self.servers[worker.name] = server, runner
@@ -84,6 +84,8 @@
     async def shut(self, name: str) -> None:
         """End a worker's process: connections break, and new ones are refused."""
         server, runner = self.servers.pop(name, (None, None))
+        if name in self.silent:
+            self.silent.pop(name).set()
         if server is not None:
             for handler in list(server.connections):
                 if handler.transport is not None:
@@ -97,14 +99,15 @@
 
     def silence(self, name: str) -> None:
         """A worker's machine vanishes: connections stay open and nothing is answered."""
-        self.silent.add(name)
+        self.silent[name] = asyncio.Event()
         self.workers[name].silence()
 
     # ---------------------------------------------------------------- hand-offs
 
     async def _serve(self, worker: Worker, request: web.BaseRequest) -> web.Response:
         if worker.name in self.silent:
-            await asyncio.Event().wait()
+            await self.silent[worker.name].wait()
+            return web.Response(status=503)  # to nobody: its connection is broken by now
         if request.method == "DELETE":
             wi = request.path.rpartition("/")[2]
             job = self.jobs.get((worker.name, wi))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -446,13 +446,16 @@
 """
 
 
-def test_a_day_of_faults_between_real_processes_keeps_the_rules_and_is_written_down(tmp_path, capsys):
+def test_a_day_of_faults_between_real_processes_keeps_the_rules_and_is_written_down(
+    tmp_path, capsys, caplog
+):
     # Releases, a crash, a late list, a lost zone, and a dispatcher each killed, restarted, standing still.
     path, record = tmp_path / "day.toml", tmp_path / "record"
     path.write_text(ROUGH)
     code = main(["load", str(path), "--seeds", "3", "--json", "--record", str(record)])
     (one,) = json.loads(capsys.readouterr().out)
     assert code == 0 and not one["broken"] and one["answers"]["200"] > 100
+    assert not caplog.records  # nor a task that nobody waits for
     events = read(str(record))
     assert [event["at"] for event in events] == sorted([event["at"] for event in events])
     seen = {(event["event"], event.get("what", event.get("kind"))) for event in events}
