--- a/dunepulley/load/standins.py
+++ b/dunepulley/load/standins.py
@@ -31,7 +31,7 @@
         """The address at which the dispatcher of an item hears of it, from this worker."""
 
     def happened(self, what: str, worker: str, wi: str, work: float) -> None:
-        """Of a hand-off: 'arrived', 'full', 'began', 'finished', 'lost' or 'given up'."""
+        """Of a hand-off: 'arrived', 'full', 'began', 'finished', 'lost', 'given up', or 'unheard'."""
 
     def report_of(self, worker: Worker) -> dict[str, float] | None:
         """The load report that the end of an item carries, if any."""
@@ -106,6 +106,7 @@
 
     async def _serve(self, worker: Worker, request: web.BaseRequest) -> web.Response:
         if worker.name in self.silent:
+            self.site.happened("unheard", worker.name, request.headers.get("X-Call-Id", ""), 0.0)
             await self.silent[worker.name].wait()
             return web.Response(status=503)  # to nobody: its connection is broken by now
         if request.method == "DELETE":
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -470,6 +470,55 @@
     assert main(["load", str(path), "--check", str(record)]) == 0
 
 
+AGENTS = """
+seconds = 9.0
+dispatchers = 3
+workers = 6
+zones = 3
+regions = 2
+load = 0.15
+way = "common"
+cold_s = 3.0
+[[category]]
+name = "look"
+work_ms = 40.0
+due_ms = 1500.0
+expiry_ms = 2500.0
+[[trouble]]
+kind = "zone"
+from_s = 3.0
+to_s = 7.5
+size = 1.0
+[[fault]]
+kind = "cut"
+from_s = 0.5
+to_s = 7.0
+one = "hz0"
+other = "hz2"
+way = "there"
+[[fault]]
+kind = "kill"
+from_s = 1.0
+to_s = 2.0
+one = "hz1"
+"""
+
+
+def test_a_zone_is_lost_while_an_agent_has_died_and_two_cannot_hear_each_other(tmp_path, capsys):
+    # The plan is agreed all the same, and all that is sent after that goes to the zones that are left.
+    path, record = tmp_path / "day.toml", tmp_path / "record"
+    path.write_text(AGENTS)
+    assert main(["load", str(path), "--seeds", "2", "--json", "--record", str(record)]) == 0
+    (one,) = json.loads(capsys.readouterr().out)
+    events = read(str(record))
+    begin = next(event["at"] for event in events if event["event"] == "clients begin")
+    assert not one["broken"] and one["answers"]["200"] > 100
+    assert [event["name"] for event in events if event.get("what") == "killed"] == ["hz1"]
+    # Lost 3 s after clients began, it is left within the 3.5 s that agents take, and tried again 5 s later.
+    unheard = [event["at"] - begin for event in events if event["event"] == "unheard" and event["wi"]]
+    assert len(unheard) > 5 and max(unheard) < 7000.0
+
+
 def children_of(process):
     """What a process has started, of which there are some by now."""
     found = Path(f"/proc/{process}/task/{process}/children").read_text().split()
