--- a/dunepulley/load/check.py
+++ b/dunepulley/load/check.py
@@ -9,6 +9,7 @@
 
 from typing import Any, NamedTuple
 
+from dunepulley.load.faults import CLIENTS, DISCOVERY
 from dunepulley.model.day import LINKS, Day, zone_of
 from dunepulley.model.rules import Rules
 
@@ -18,7 +19,6 @@
 SLACK_MS = 50.0
 # News counts as told so long after discovery can be reached again.
 TOLD_MS = 6000.0
-CLIENTS, DISCOVERY = "clients", "discovery"
 
 
 class Span(NamedTuple):
@@ -38,7 +38,7 @@
     since: float = 0.0
     speed: float = 1.0
     slots: int = 1
-    factors: dict[str, float] = {}  # noqa: RUF012
+    factors: dict[str, float] = {}
 
 
 def spans_of(events: list[dict[str, Any]]) -> tuple[list[Span], list[Span]]:
@@ -79,6 +79,8 @@
         self.category: dict[str, str] = {}
         # Where hand-offs of an item have neither ended nor been given up.
         self.out: dict[str, set[str]] = {}
+        # Given up before they were seen to arrive.
+        self.early: set[tuple[str, str]] = set()
 
     def broken(self) -> list[str]:
         """What went against a rule."""
@@ -138,7 +140,10 @@
         wrong = worker in out or (out and not self.day.second_copies)
         if wrong and not self._during(self.links, {home, *out}, 0.0, at):
             self.rules.break_("copies", f"{wi} was out at {', '.join(sorted(out))} and sent to {worker}")
-        out.add(worker)
+        if (wi, worker) in self.early:
+            self.early.discard((wi, worker))
+        else:
+            out.add(worker)
 
     def _heard(self, home: str, told: float) -> float:
         """When what was written to a dispatcher can have been heard there."""
@@ -153,7 +158,11 @@
         self.rules.began(at, wi, self.categories[self.category[wi]], self._place(event["worker"]))
 
     def _read_end(self, at: float, event: dict[str, Any]) -> None:
-        self.out.get(event["wi"], set()).discard(event["worker"])
+        wi, worker = event["wi"], event["worker"]
+        if worker in self.out.get(wi, ()):
+            self.out[wi].discard(worker)
+        elif event["event"] == "given up":
+            self.early.add((wi, worker))
 
     def _read_listed(self, at: float, event: dict[str, Any]) -> None:
         for worker, state in event["workers"].items():
--- a/dunepulley/load/standins.py
+++ b/dunepulley/load/standins.py
@@ -112,10 +112,10 @@
         if request.method == "DELETE":
             wi = request.path.rpartition("/")[2]
             job = self.jobs.get((worker.name, wi))
-            if job is not None:
-                self.site.happened("given up", worker.name, wi, 0.0)
-                if worker.drop(job, self.cancels):
-                    del self.jobs[worker.name, wi]
+            # Also one that has not been read yet: its connection is closed, and it may overtake it.
+            self.site.happened("given up", worker.name, wi, 0.0)
+            if job is not None and worker.drop(job, self.cancels):
+                del self.jobs[worker.name, wi]
             return web.Response(status=204)
         if request.method != "POST":
             return web.Response(status=404)
