--- a/review/standins.py
+++ b/review/standins.py
@@ -207,6 +207,7 @@
         self.running = {}
         self.tasks = set()
         self.attempts = []
+        self.done = set()  # ids of the jobs whose result was told and acknowledged
         self.server = None
         self.accepting = True
 
@@ -321,6 +322,8 @@
                 continue
             if first.split(" ")[1] in ("200", "204"):
                 self.record(f"{self.name} tells {request_id} {state}")
+                if state == "done":
+                    self.done.add(request_id)
                 return
             await asyncio.sleep(0.1)
 
@@ -424,12 +427,16 @@
     async def connect(self):
         self.reader, self.writer = await asyncio.open_connection(*self.address)
 
-    async def ask(self, target, budget_ms, *headers, patience_s=None):
-        """Send one request. Without `patience_s` the client waits for the answer 1 s longer than it must."""
+    async def ask(self, target, budget_ms, *headers, patience_s=None, request_id=""):
+        """Send one request, with a new id if none is given.
+
+        Without `patience_s` the client waits for the answer 1 s longer than it must.
+        """
         if self.writer is None or self.writer.is_closing():
             await self.connect()
         self.sent += 1
-        asked = Answered(f"{target.split('/')[1]}-{self.name}-{self.sent}", target, budget_ms)
+        request_id = request_id or f"{target.split('/')[1]}-{self.name}-{self.sent}"
+        asked = Answered(request_id, target, budget_ms)
         self.answers.append(asked)
         lines = [
             f"POST {target} HTTP/1.1",
@@ -502,6 +509,7 @@
     """One dispatcher, started by the line `run` of the deploy file."""
 
     def __init__(self, record, name, folder, port, config, temporary=None):
+        """`name` is that of the process in the record; `temporary` is a TMPDIR that processes share."""
         self.record = record
         self.name = name
         self.port = port
@@ -519,7 +527,7 @@
         temporary.mkdir(exist_ok=True)  # noqa: ASYNC240
         environment = {
             "PATH": os.environ["PATH"],
-            "ROUTER_NAME": self.name,
+            "ROUTER_NAME": self.config["name"],
             "ROUTER_LISTEN": self.config["listen"],
             "ROUTER_DISCOVERY": self.config["discovery"],
             "ROUTER_CONFIG": str(path),
@@ -545,6 +553,28 @@
             await asyncio.sleep(0.05)
         raise CannotRunError(f"{self.name} was not ready within {limit_s} s")
 
+    async def healthy(self, limit_s=6.0):
+        """Wait until the second address says yes to HEALTH."""
+        end = time.monotonic() + limit_s
+        while time.monotonic() < end:
+            with contextlib.suppress(OSError, TimeoutError):
+                if (await self.console("HEALTH")).startswith("200"):
+                    self.record(f"{self.name} says yes to HEALTH")
+                    return
+            await asyncio.sleep(0.05)
+        raise CannotRunError(f"{self.name} did not say yes within {limit_s} s")
+
+    async def console(self, line):
+        """One call to the second address."""
+        host, _, port = self.config["console"].rpartition(":")
+        async with asyncio.timeout(2.0):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                writer.write(line.encode() + b"\n")
+                return (await reader.read()).decode()
+            finally:
+                writer.close()
+
     def signal(self, number):
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
