--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,8 +21,8 @@
     settings,
 )
 
-UNSAFE, UNSAFE_MS, UNSAFE_RATE = "place-order", 900, 8.0
-READ, READ_MS, READ_RATE = "report-build", 900, 8.0
+UNSAFE, UNSAFE_MS, UNSAFE_RATE = "place-order", 600, 14.0
+READ, READ_MS, READ_RATE = "report-build", 1200, 4.0
 BUDGET_MS = 5000
 LENGTH_S, CALM_S = 36.0, 26.0
 # "for 6 s [...] answers get lost"
--- a/review/standins.py
+++ b/review/standins.py
@@ -615,7 +615,7 @@
     breaks = None
     try:
         breaks = asyncio.run(asyncio.wait_for(case(record, temporary, trouble), 110.0))
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except Exception as error:  # whatever it is, the rule was not judged
         record(f"the case could not run: {error!r}")
     finally:
         for log in sorted(Path(temporary).glob("*.log")):
