--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,11 +7,23 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins import HOST, Client, Discovery, Dispatcher, Worker, category, config, free_port, main, settings
+from standins import (
+    HOST,
+    CannotRunError,
+    Client,
+    Discovery,
+    Dispatcher,
+    Worker,
+    category,
+    config,
+    free_port,
+    main,
+    settings,
+)
 
 UNSAFE, BUDGET_MS = "place-order", 5000
 USUAL_CLIENTS = 6
-WORK_S = 1.5
+WORK_S = 2.5
 BAD_REQUESTS = 3
 
 
@@ -49,6 +61,8 @@
         await upgrade
         if trouble:
             open_ids = [client.answers[-1].request_id for client in usual if not client.answers[-1].status]
+            if not open_ids:
+                raise CannotRunError("no request was open any more when the new process said yes")
             record(f"a bad client sends ids of open requests: {open_ids[:BAD_REQUESTS]}")
             asked += [
                 asyncio.create_task(client.ask(path, BUDGET_MS, request_id=request_id))
