--- a/dunepulley/net/frontend/framing.py
+++ b/dunepulley/net/frontend/framing.py
@@ -14,9 +14,11 @@
 MAX_BODY_BYTES = 65536
 # A typical head has a few hundred bytes; a head that never ends must not fill the memory.
 MAX_HEAD_BYTES = 16384
-# Header lines of a head, between its first line and the empty line at its end.
-_CONTENT_LENGTH = re.compile(rb"\r\ncontent-length[ \t]*:[ \t]*([^\r]*?)[ \t]*(?=\r\n)", re.I)
-_TRANSFER_ENCODING = re.compile(rb"\r\ntransfer-encoding[ \t]*:[ \t]*([^\r]*?)[ \t]*(?=\r\n)", re.I)
+# Header lines of a head, between its first line and the empty line at its end, each with its value. The
+# blanks around a value are removed separately: a pattern that removes them takes quadratic time.
+_BLANKS = b" \t"
+_CONTENT_LENGTH = re.compile(rb"\r\ncontent-length[ \t]*:([^\r\n]*)", re.I)
+_TRANSFER_ENCODING = re.compile(rb"\r\ntransfer-encoding[ \t]*:([^\r\n]*)", re.I)
 _EXPECT_CONTINUE = re.compile(rb"\r\nexpect:[ \t]*100-continue", re.I)
 # Bare CR or LF, folded lines and NUL bytes, which parsers interpret differently.
 _AMBIGUOUS = re.compile(rb"(?<!\r)\n|\r(?!\n)|\r\n[ \t]|\0")
@@ -35,8 +37,8 @@
     """Return the length in bytes of the body that a head declares, or `CHUNKED`."""
     if _AMBIGUOUS.search(head):
         raise MalformedError(400, "lines that end oddly or are folded")
-    lengths = _CONTENT_LENGTH.findall(head)
-    codings = _TRANSFER_ENCODING.findall(head)
+    lengths = _field_values(_CONTENT_LENGTH, head)
+    codings = _field_values(_TRANSFER_ENCODING, head)
     if codings:
         if lengths or len(codings) > 1 or codings[0].lower() != b"chunked":
             raise MalformedError(400, "Transfer-Encoding beside a length, or not chunked")
@@ -50,6 +52,11 @@
     return int(lengths[0])
 
 
+def _field_values(pattern: re.Pattern[bytes], head: bytes) -> list[bytes]:
+    """Return the values of all fields that a pattern finds, without the blanks around them."""
+    return [value.strip(_BLANKS) for value in pattern.findall(head)]
+
+
 def expects_continue(head: bytes) -> bool:
     """Return whether the client waits for `100 Continue` before it sends the body."""
     return _EXPECT_CONTINUE.search(head) is not None
