Discovery's lines are read in time proportional to their length, damaged ones too

Cause: JsonLines.split copied the part of a line that it had for each new piece, and the pattern for strings in bracket_depth began anew at each quote of a string that does not end.

The part of a line is appended to in place, and an unterminated string now extends to the end of its line. Documents that are valid are read as before; a damaged one is refused as before.

--- a/dunepulley/net/json_lines.py
+++ b/dunepulley/net/json_lines.py
@@ -11,7 +11,8 @@
 # Limit on the length of a line or document. A list of thousands of endpoints on one line is well below it.
 MAX_LINE_BYTES = 64 * 1024 * 1024
 
-STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+# An unterminated string extends to the end of the line: the search must not start again in its middle.
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*+"?')
 BRACKET = re.compile(rb"[][{}]")
 
 
@@ -43,13 +44,19 @@
     """Assembles the chunks of a stream into lines, and lines into documents."""
 
     def __init__(self) -> None:
-        self._partial_line = b""
+        self._partial_line = bytearray()
         self._document = bytearray()  # the lines received so far of an indented document
         self._depth = 0
 
     def split(self, chunk: bytes) -> list[bytes]:
         """Return the lines that end in a chunk; raises ValueError if a line or document is too long."""
-        *lines, self._partial_line = (self._partial_line + chunk).split(b"\n")
+        line_end, *others = chunk.split(b"\n")
+        self._partial_line += line_end
+        lines = []
+        if others:
+            *whole_lines, line_start = others
+            lines = [bytes(self._partial_line), *whole_lines]
+            self._partial_line = bytearray(line_start)
         if len(self._partial_line) + len(self._document) > MAX_LINE_BYTES:
             raise ValueError(f"expected a line of at most {MAX_LINE_BYTES} bytes, got a longer one")
         return lines
--- a/tests/net/test_json_lines.py
+++ b/tests/net/test_json_lines.py
@@ -1,6 +1,7 @@
 """Parsing JSON documents from a stream: chunks to lines, lines to documents."""
 
 import json
+import time
 
 import pytest
 
@@ -41,3 +42,20 @@
     monkeypatch.setattr(json_lines, "MAX_LINE_BYTES", 10)
     with pytest.raises(ValueError, match="at most 10 bytes"):
         documents_of(chunks)
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        pytest.param([b'"' + b"x" * 60] * 20_000 + [b"\n"], id="one line in many pieces"),
+        pytest.param([b'{"a": "' + b'\\"' * 50_000 + b"\n"], id="a string that does not end"),
+    ],
+)
+def test_a_line_is_read_in_time_proportional_to_its_length(chunks):
+    # Guards against holding the event loop up: with time that grows with the square of a line's length, one
+    # damaged or slowly received line took seconds.
+    lines, before_s = JsonLines(), time.process_time()
+    for chunk in chunks:
+        for line in lines.split(chunk):
+            assert json_lines.bracket_depth(line) in (0, 1)
+    assert time.process_time() - before_s < 0.15
