--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -139,11 +139,11 @@
         """Whether an attempt may still start; called immediately before its first byte is sent.
 
         Guards against changes since the routing decision, while the connection was established or waited for:
-        the client disconnected, the endpoint is draining or restarted at another address, or a timeout or a
-        retry window ended.
+        the client disconnected, the attempt has ended, the endpoint is draining or restarted at another
+        address, or a timeout or a retry window ended.
         """
         request = attempt.request
-        if attempt.cancelled or request.answer.done():
+        if attempt.cancelled or attempt.result or request.answer.done():
             return False
         if not self.endpoints.is_ready_at(attempt.endpoint_id, attempt.address):
             return False
@@ -267,7 +267,14 @@
         duration_ms = self.now - attempt.started_ms
         self.events.append(
             AttemptEnded(
-                request_id, attempt.number, result, attempt.endpoint_id, duration_ms, answered, load_report
+                request_id,
+                attempt.number,
+                result,
+                attempt.endpoint_id,
+                duration_ms,
+                answered,
+                load_report,
+                attempt.may_be_reported(),
             )
         )
 
--- a/dunepulley/net/messages.py
+++ b/dunepulley/net/messages.py
@@ -81,6 +81,7 @@
         write_started: its first byte was about to be written.
         fully_written: its last byte has left the process.
         response_started: the endpoint has begun to respond.
+        accepted: it responded that it reports the result by callback.
         callback_received: the endpoint has sent a callback about it.
         cancelled: it was cancelled; nothing more of it may be sent.
         start_refused: `Core.may_begin` found that it must not start any more.
@@ -90,8 +91,8 @@
 
     __slots__ = ("request", "number", "endpoint_id", "address", "timeout_ms", "started_ms")
     __slots__ += ("start_before_ms", "deadline_s", "timeout_sent_s", "reused_connection", "write_started")
-    __slots__ += ("fully_written", "response_started", "callback_received", "cancelled", "start_refused")
-    __slots__ += ("result", "timer")
+    __slots__ += ("fully_written", "response_started", "accepted", "callback_received", "cancelled")
+    __slots__ += ("start_refused", "result", "timer")
 
     def __init__(
         self,
@@ -113,11 +114,19 @@
         self.timeout_sent_s = asyncio.get_running_loop().time()
         self.deadline_s = self.timeout_sent_s + timeout_ms / 1000.0
         self.reused_connection = self.write_started = self.fully_written = False
-        self.response_started = self.callback_received = False
+        self.response_started = self.accepted = self.callback_received = False
         self.cancelled = self.start_refused = False
         self.result = ""
         self.timer: asyncio.TimerHandle | None = None
 
+    def may_be_reported(self) -> bool:
+        """Whether the endpoint may report on it by callback, for the first time or once more.
+
+        A response other than the acceptance is itself the report.
+        """
+        has_no_response = self.fully_written and not self.response_started
+        return self.accepted or self.callback_received or has_no_response
+
 
 class RequestReceived(NamedTuple):
     """A client has sent a request."""
--- a/dunepulley/routing/events.py
+++ b/dunepulley/routing/events.py
@@ -107,7 +107,11 @@
 
 
 class AttemptEnded(NamedTuple):
-    """An attempt has ended; `answered` is whether the client needs no further response."""
+    """An attempt has ended; `answered` is whether the client needs no further response.
+
+    `may_be_reported` is whether the endpoint may still report on the attempt. A report does not tell which of
+    the attempts at its endpoint it is about.
+    """
 
     request_id: str
     attempt_number: int
@@ -116,6 +120,7 @@
     duration_ms: float = 0.0
     answered: bool = False
     load_report: dict[str, float] | None = None
+    may_be_reported: bool = False
 
 
 class ClientDisconnected(NamedTuple):
--- a/dunepulley/routing/lifecycle.py
+++ b/dunepulley/routing/lifecycle.py
@@ -7,7 +7,7 @@
 
 from .commands import CancelAttempt, Fail, Reject, StartAttempt
 from .endpoints import Endpoint
-from .events import EndpointState
+from .events import AttemptEnded, EndpointState
 from .gossip import GossipExchange
 from .in_flight import InFlight
 from .load_estimates import LoadEstimator
@@ -116,9 +116,10 @@
         if not request.is_answered:
             request.move_to(RequestState.RESPONDING)
 
-    def attempt_ended(self, request: Request, attempt: Attempt, result: str, now: float) -> None:
+    def attempt_ended(self, request: Request, attempt: Attempt, event: AttemptEnded, now: float) -> None:
         """Record the end of an attempt; the next step is decided afterwards by `advance`."""
-        attempt.result = result
+        attempt.result = event.result
+        attempt.may_be_reported = event.may_be_reported
         request.attempts_in_flight -= 1
         endpoint = attempt.endpoint
         self._in_flight.end(endpoint, request.slots, now)
--- a/dunepulley/routing/request.py
+++ b/dunepulley/routing/request.py
@@ -109,6 +109,8 @@
     started_ms: float = 0.0
     # Its result; empty while it is in flight.
     result: str = ""
+    # Whether the endpoint may still report on it after its end.
+    may_be_reported: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -144,6 +146,14 @@
         assert state in _ALLOWED[self.state], f"request.state: cannot change from {self.state} to {state}"
         self.state = state
 
+    def reporting_endpoint_ids(self) -> list[str]:
+        """The ids of the endpoints that may still report on an ended attempt.
+
+        They get no other attempt of the request: a report on the earlier one, repeated because its
+        acknowledgement was lost, would be taken for the end of one that still runs.
+        """
+        return [attempt.endpoint.endpoint_id for attempt in self.attempts if attempt.may_be_reported]
+
     def unfinished_attempts(self) -> list[Attempt]:
         """The attempts that are in flight, in the order in which they were sent."""
         return [attempt for attempt in self.attempts if not attempt.result]
--- a/dunepulley/routing/retries.py
+++ b/dunepulley/routing/retries.py
@@ -52,14 +52,20 @@
 
     def may_attempt_at(self, request: Request, endpoint: Endpoint, now: float) -> bool:
         """Whether an attempt at this endpoint cannot make the effect happen twice."""
+        if endpoint.endpoint_id in request.reporting_endpoint_ids():
+            return False
         return is_in_group(request, endpoint, self.allowed_group(request, now))
 
     def may_retry(self, request: Request, now: float) -> bool:
         """Whether there is a ready endpoint at which the request may be attempted."""
         group = self.allowed_group(request, now)
-        if isinstance(group, bool):
-            return group and bool(self._endpoints.ready)
-        return any(_group_of(request, endpoint) == group for endpoint in self._endpoints.ready)
+        if group is False:
+            return False
+        reporting_ids = request.reporting_endpoint_ids()
+        return any(
+            is_in_group(request, endpoint, group) and endpoint.endpoint_id not in reporting_ids
+            for endpoint in self._endpoints.ready
+        )
 
     def window_end_ms(self, request: Request) -> float:
         """Until when endpoints certainly remember the idempotency key of all attempts that may have run."""
--- a/dunepulley/routing/router.py
+++ b/dunepulley/routing/router.py
@@ -250,7 +250,7 @@
             return
         request, attempt = found
         lifecycle = self.lifecycle
-        lifecycle.attempt_ended(request, attempt, event.result, self.now)
+        lifecycle.attempt_ended(request, attempt, event, self.now)
         self.feedback.record_end(request, attempt, event, self.now)
         if event.answered and not request.is_answered:
             lifecycle.close(request, event.result == AttemptResult.COMPLETED)
--- a/dunepulley/routing/selection.py
+++ b/dunepulley/routing/selection.py
@@ -44,6 +44,8 @@
     allowed_group: AllowedGroup
     # An endpoint that needs longer than this is likely too slow.
     limit_ms: float
+    # The endpoints that may still report on an earlier attempt of the request.
+    reporting_ids: Sequence[str] = ()
     # With size classes: the kinds whose warm endpoints are likely too slow, and those that cannot be in time.
     slow_kinds: frozenset[str] = frozenset()
     too_slow_kinds: frozenset[str] = frozenset()
@@ -116,11 +118,14 @@
         left_ms = request.due_ms - now
         limit_ms = _SLOW_FRACTION * left_ms
         allowed_group = self._retry_policy.allowed_group(request, now) if request.attempts else True
+        reporting_ids = request.reporting_endpoint_ids()
         if not self._size_classes.pools:
-            return _Search(request, now, excluded, allowed_group, limit_ms)
+            return _Search(request, now, excluded, allowed_group, limit_ms, reporting_ids)
         slow_kinds = self._run_times.slow_kinds(request.expected_ms, limit_ms)
         too_slow_kinds = self._run_times.slow_kinds(request.expected_ms, left_ms)
-        return _Search(request, now, excluded, allowed_group, limit_ms, slow_kinds, too_slow_kinds)
+        return _Search(
+            request, now, excluded, allowed_group, limit_ms, reporting_ids, slow_kinds, too_slow_kinds
+        )
 
     def _groups(self, request: Request, now: float) -> Iterable[list[Endpoint]]:
         """The groups of endpoints for a request, the most preferred first."""
@@ -214,6 +219,7 @@
         required_kind = request.request_class.settings.required_kind
         if required_kind is not None and required_kind != endpoint.kind:
             return False
-        if not is_in_group(request, endpoint, search.allowed_group):
+        is_reporting = endpoint.endpoint_id in search.reporting_ids
+        if is_reporting or not is_in_group(request, endpoint, search.allowed_group):
             return False
         return endpoint.started_ms <= 0.0 or self._slow_start.allows_attempt(request, endpoint, now)
--- a/tests/routing/test_rules.py
+++ b/tests/routing/test_rules.py
@@ -46,6 +46,30 @@
     assert rig.answer["a"] == answer.__name__
 
 
+@pytest.mark.parametrize("hedging", [False, True])
+@pytest.mark.parametrize(
+    ("request_class", "result"),
+    [
+        ("look", AttemptResult.REJECTED),
+        ("look", AttemptResult.ERRORED),
+        ("look", AttemptResult.CONNECTION_LOST),
+        ("look", AttemptResult.CANCELLED),
+        ("pay", AttemptResult.REJECTED),
+    ],
+)
+def test_endpoint_that_may_still_report_on_an_attempt_gets_no_other_of_the_request(
+    request_class, result, hedging
+):
+    # Guards against a repeated report that ends an attempt which still runs, so that a third one starts.
+    rig = RouterRig(endpoints=2, policyLimits__secondCopies=hedging)
+    rig.feed(RequestArrived("a", request_class, 5000.0))
+    for number in range(2):
+        endpoint_id = rig.sent["a"][number].endpoint_id
+        rig.feed(AttemptEnded("a", number, result, endpoint_id, may_be_reported=True), after=10.0)
+    assert {attempt.endpoint_id for attempt in rig.sent["a"]} == {"w0", "w1"} and len(rig.sent["a"]) == 2
+    assert rig.answer["a"] == "Reject"
+
+
 @pytest.mark.parametrize("state", [EndpointState.DRAINING, EndpointState.REMOVED])
 def test_draining_endpoint_receives_no_attempts(state):
     rig = RouterRig(endpoints=2)
