--- a/dunepulley/net/frontend/server.py
+++ b/dunepulley/net/frontend/server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable, Container
 from typing import Any
 
 from aiohttp import web
@@ -75,7 +76,10 @@
             max_descriptors // 3, int(settings.get("policyLimits.openCap", max_descriptors))
         )
         self.waiting: dict[str, PendingRequest] = {}
-        self.parser = RequestParser(core.clock, self.requires_key, affinity_by_path, self.has_request)
+        # During a hot restart: the ids that the other process has taken, and what to call with each id taken.
+        self.foreign_requests: Container[str] = frozenset()
+        self.announce_request: Callable[[str], None] | None = None
+        self.parser = RequestParser(core.clock, self.requires_key, affinity_by_path, self.is_in_progress)
         self.recorder: Recorder | None = None
         self.none_waiting = asyncio.Event()
         self.drain_state, self.is_rejecting = SERVING, False
@@ -224,6 +228,14 @@
         """Return whether a request is in progress in this process."""
         return request_id in self.waiting or request_id in self.core.requests
 
+    def is_in_progress(self, request_id: str) -> bool:
+        """Return whether a request is in progress here, or was taken by a process that serves beside it."""
+        return self.has_request(request_id) or request_id in self.foreign_requests
+
+    def request_ids(self) -> list[str]:
+        """Return the ids of the requests that are in progress in this process."""
+        return list({*self.waiting, *self.core.requests})
+
     async def _answer(self, request: PendingRequest) -> tuple[web.Response, str]:
         """Pass a request to the core and wait for its answer; return the response and the outcome.
 
@@ -232,6 +244,8 @@
         request_id = request.arrived.request_id
         self.waiting[request_id] = request
         self.counters["taken"] += 1
+        if self.announce_request is not None:
+            self.announce_request(request_id)
         if self.recorder is not None:
             arrived = request.arrived
             self.recorder.record_request(
--- a/dunepulley/net/handover.py
+++ b/dunepulley/net/handover.py
@@ -119,6 +119,10 @@
         """Return the HTTP status for a callback; None if its request is not open in this process."""
         return self.frontend.callbacks.receive_forwarded(body)
 
+    def request_ids(self) -> list[str]:
+        """Return the ids of the requests that are in progress in this process."""
+        return self.frontend.request_ids()
+
     async def _finish(self) -> None:
         await self.frontend.none_waiting.wait()
         while self.core.requests or self.frontend.server.has_unsent_responses():
--- a/dunepulley/net/hot_restart/coordinator.py
+++ b/dunepulley/net/hot_restart/coordinator.py
@@ -10,6 +10,7 @@
 from dunepulley.net import log
 from dunepulley.net.counters import Counters
 from dunepulley.net.hot_restart.child import Inherited
+from dunepulley.net.hot_restart.foreign_requests import ForeignRequests, messages_with
 from dunepulley.net.hot_restart.link import Link
 from dunepulley.net.hot_restart.listener import ChildListener
 from dunepulley.net.hot_restart.messages import (
@@ -20,6 +21,7 @@
     Hello,
     Ready,
     Refused,
+    RequestsTaken,
 )
 from dunepulley.net.hot_restart.paths import is_same_user
 from dunepulley.net.log_events import LogEvent
@@ -51,6 +53,9 @@
     def receive_callback(self, body: bytes) -> int | None:
         """Return the HTTP status for a callback; None if its request is not open in this process."""
 
+    def request_ids(self) -> list[str]:
+        """Return the ids of the requests that are in progress in this process."""
+
 
 class HotRestart:
     """Owns the link to the parent, the socket for a child, and the link to that child."""
@@ -66,6 +71,8 @@
         # Set once the parent has stopped accepting connections, or has ended.
         self._parent_released = asyncio.Event()
         self._warm_state: Any = None
+        # The ids that the parent and the child have taken.
+        self.foreign_requests = ForeignRequests()
         self._tasks: set[asyncio.Task] = set()
 
     def _run(self, coroutine: Awaitable[None]) -> None:
@@ -88,9 +95,12 @@
                 self._parent_released.set()
             elif isinstance(message, CallbackForwarded):
                 self._run(self._answer_callback(link, message, self.child))
+            elif isinstance(message, RequestsTaken):
+                self._add_foreign_requests(link, message, self.child)
         # The parent has ended, normally or not: this process alone owns the listening socket now.
         self.parent = None
         link.close()
+        self.foreign_requests.forget(link)
         self._parent_released.set()
         self.dispatcher.use_full_limits()
 
@@ -137,6 +147,7 @@
         finally:
             # Also reached if this task is cancelled because this process ends; then it does not resume.
             link.close()
+            self.foreign_requests.forget(link)
             if self.child is link:
                 self.child = None
 
@@ -154,10 +165,15 @@
             if isinstance(message, Ready) and not self._handed_over:
                 self._handed_over = True
                 self.listener.stop()
+                # Before the child accepts its first connection.
+                for taken in messages_with(self.dispatcher.request_ids() + self.foreign_requests.all_ids()):
+                    link.send(taken)
                 link.send(HandedOver(await self.dispatcher.hand_over()))
                 log.write(LogEvent.HOT_RESTART, "the child process serves; finishing the open requests")
             elif isinstance(message, CallbackForwarded):
                 self._run(self._answer_callback(link, message, self.parent))
+            elif isinstance(message, RequestsTaken):
+                self._add_foreign_requests(link, message, self.parent)
 
     def _child_ended(self) -> None:
         handed_over, self._handed_over = self._handed_over, False
@@ -167,6 +183,24 @@
         elif self.dispatcher.resume():
             self.listen_for_child()
 
+    # ---------------------------------------------------------------- request ids
+
+    def announce_request(self, request_id: str) -> None:
+        """Send the id of a request that this process takes to the processes that serve beside it."""
+        self._send_taken(RequestsTaken([request_id]), self.parent)
+        if self._handed_over:
+            self._send_taken(RequestsTaken([request_id]), self.child)
+
+    def _add_foreign_requests(self, link: Link, message: RequestsTaken, other_link: Link | None) -> None:
+        """Record the ids from `link`, and pass them on to the process at `other_link`."""
+        self.foreign_requests.add(link, message.ids)
+        if other_link is not self.child or self._handed_over:
+            self._send_taken(message, other_link)
+
+    def _send_taken(self, message: RequestsTaken, link: Link | None) -> None:
+        if link is not None and not link.closed:
+            link.send(message)
+
     # ---------------------------------------------------------------- callbacks
 
     async def forward_callback(self, body: bytes) -> int | None:
--- a/dunepulley/net/hot_restart/messages.py
+++ b/dunepulley/net/hot_restart/messages.py
@@ -75,24 +75,46 @@
         return {"to": self.number, "status": self.status}
 
 
+class RequestsTaken(NamedTuple):
+    """Ids of requests that a process has taken: the other one must reject them."""
+
+    ids: list[str]
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the message in its JSON form."""
+        return {"taken": self.ids}
+
+
 class Unknown(NamedTuple):
     """A message of another version of the protocol."""
 
 
-Sent = Hello | Refused | Ready | HandedOver | CallbackForwarded | CallbackAnswered
-Received = Hello | Ready | HandedOver | CallbackForwarded | CallbackAnswered | Unknown
+Sent = Hello | Refused | Ready | HandedOver | CallbackForwarded | CallbackAnswered | RequestsTaken
+Received = Hello | Ready | HandedOver | CallbackForwarded | CallbackAnswered | RequestsTaken | Unknown
 
 
 def parse(message: dict[str, Any]) -> Received:
     """Return the message in a JSON object; `Unknown` if its kind is not known."""
-    if "to" in message:
-        return CallbackAnswered(message["to"], message.get("status"))
+    about_requests = _parse_about_requests(message)
+    if about_requests is not None:
+        return about_requests
     if "yours" in message:
         return HandedOver(message["yours"])
     if "ready" in message:
         return Ready()
-    if isinstance(message.get("callback"), str) and "number" in message:
-        return CallbackForwarded(message["callback"], message["number"])
     if "hello" in message:
         return Hello(message["hello"], str(message.get("name", "")))
     return Unknown()
+
+
+def _parse_about_requests(
+    message: dict[str, Any],
+) -> CallbackForwarded | CallbackAnswered | RequestsTaken | None:
+    """Return the message in a JSON object, if it is one about requests or their callbacks."""
+    if "to" in message:
+        return CallbackAnswered(message["to"], message.get("status"))
+    if isinstance(message.get("callback"), str) and "number" in message:
+        return CallbackForwarded(message["callback"], message["number"])
+    if isinstance(message.get("taken"), list):
+        return RequestsTaken([request_id for request_id in message["taken"] if isinstance(request_id, str)])
+    return None
--- a/dunepulley/net/request_table.py
+++ b/dunepulley/net/request_table.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from dunepulley.net.messages import Answer, CallbackState, PendingRequest, UpstreamAttempt
 from dunepulley.routing.events import NOT_EXECUTED, AttemptEnded, AttemptResult
 
@@ -56,6 +58,9 @@
     def __len__(self) -> int:
         return len(self._open)
 
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._open)
+
     def __contains__(self, request_id: object) -> bool:
         return request_id in self._open
 
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -80,6 +80,8 @@
         path = socket_path(config.temp_dir, *config.listen)
         self.hot_restart = HotRestart(self.hot_restart_actions, path, self.counters)
         self.frontend.callbacks.forward = self.hot_restart.forward_callback
+        self.frontend.foreign_requests = self.hot_restart.foreign_requests
+        self.frontend.announce_request = self.hot_restart.announce_request
 
     def _create_core(self) -> Core:
         """Create the `Core`, with the parent's clock if there is a parent."""
