Empty lines before a request count towards the length of its head

Cause: RequestBuffer.add deleted two bytes at a time and RequestBuffer counted nothing of them. They now leave in one step and count towards MAX_HEAD_BYTES; a client that sends more is told 431 and its connection is closed.

The new case of test_frontend_hold_up.py failed before (the connection was closed as silent, with no answer) and passes now; a few empty lines are skipped as before.

--- a/dunepulley/net/frontend/framing.py
+++ b/dunepulley/net/frontend/framing.py
@@ -19,6 +19,7 @@
 _BLANKS = b" \t"
 _CONTENT_LENGTH = re.compile(rb"\r\ncontent-length[ \t]*:([^\r\n]*)", re.I)
 _TRANSFER_ENCODING = re.compile(rb"\r\ntransfer-encoding[ \t]*:([^\r\n]*)", re.I)
+_EMPTY_LINES = re.compile(rb"(?:\r\n)*")
 _EXPECT_CONTINUE = re.compile(rb"\r\nexpect:[ \t]*100-continue", re.I)
 # Bare CR or LF, folded lines and NUL bytes, which parsers interpret differently.
 _AMBIGUOUS = re.compile(rb"(?<!\r)\n|\r(?!\n)|\r\n[ \t]|\0")
@@ -115,10 +116,12 @@
 class RequestBuffer:
     """Buffers the received bytes of one request until it is complete."""
 
-    __slots__ = ("received", "_head_length", "_length", "_chunks")
+    __slots__ = ("received", "_skipped_bytes", "_head_length", "_length", "_chunks")
 
     def __init__(self) -> None:
         self.received = bytearray()
+        # The length of the empty lines that were skipped before the request.
+        self._skipped_bytes = 0
         # The lengths of the head, with the empty line at its end, and of the whole request; 0 until known.
         self._head_length = self._length = 0
         self._chunks: ChunkedBody | None = None
@@ -128,8 +131,9 @@
         self.received += data
         if not self._head_length:
             # Some clients send an extra CRLF after a body: RFC 9112, 2.2 allows a server to skip it.
-            while self.received.startswith(b"\r\n"):
-                del self.received[:2]
+            end = _EMPTY_LINES.match(self.received).end()
+            del self.received[:end]
+            self._skipped_bytes += end
 
     def is_complete(self, added: int) -> bool:
         """Return whether the request is complete; `added` is the number of bytes that were just appended."""
@@ -161,7 +165,7 @@
     def _read_head(self, added: int) -> bool:
         """Look for the end of the head; return whether the head is complete."""
         end = self.received.find(b"\r\n\r\n", max(0, len(self.received) - added - 3))
-        if (end if end >= 0 else len(self.received)) > MAX_HEAD_BYTES:
+        if self._skipped_bytes + (end if end >= 0 else len(self.received)) > MAX_HEAD_BYTES:
             raise MalformedError(431, "the head is too long")
         if end < 0:
             return False
--- a/tests/net/test_frontend_hold_up.py
+++ b/tests/net/test_frontend_hold_up.py
@@ -1,11 +1,12 @@
 """Requests that are expensive to parse: none holds the event loop up for longer than a dispatcher may be."""
 
+import contextlib
 import time
 
 import pytest
 from support.dispatcher_rig import DispatcherRig
 from support.event_loop import on_loop
-from support.http_messages import ACCEPTED, HEALTH_REQUEST
+from support.http_messages import ACCEPTED, HEALTH_REQUEST, read_message
 
 from dunepulley.net.frontend.framing import MAX_HEAD_BYTES
 
@@ -69,3 +70,19 @@
         assert cpu_s < MAX_HOLD_UP_S
         assert (await rig.exchange(HEALTH_REQUEST)).target == "200"
         assert not rig.endpoints[0].seen
+
+
+@on_loop
+async def test_a_client_that_sends_only_empty_lines_is_rejected_after_the_length_of_a_head():
+    # Guards against skipping empty lines without an end: ten such clients held the process up for seconds.
+    async with DispatcherRig(accept_request) as rig:
+        reader, writer = await rig.connect()
+        with contextlib.suppress(ConnectionError):
+            for _ in range(MAX_HEAD_BYTES // 1000 + 1):
+                writer.write(b"\r\n" * 500)
+                await writer.drain()
+        answer = await read_message(reader)
+        assert (answer.target, answer.headers["connection"]) == ("431", "close")
+        writer.close()
+        # A few empty lines before a request are skipped, as some clients send them.
+        assert (await rig.exchange(b"\r\n" * 3 + HEALTH_REQUEST)).target == "200"
