Errors of counts, ballots and epochs name the largest allowed value

They are now made from the constants, less one. A ballot's counter goes through parse_count, which stood twice.

--- a/dunepulley/agent/config.py
+++ b/dunepulley/agent/config.py
@@ -142,7 +142,7 @@
     if not isinstance(acceptor_path, str) or not acceptor_path:
         raise ValueError(f"fleet: votes: expected a path, got {acceptor_path!r:.60}")
     if isinstance(epoch, bool) or not isinstance(epoch, int) or not 1 <= epoch < _MAX_EPOCH:
-        raise ValueError(f"fleet: epoch: expected an integer from 1 to 2**31, got {epoch!r:.60}")
+        raise ValueError(f"fleet: epoch: expected an integer from 1 to {_MAX_EPOCH - 1}, got {epoch!r:.60}")
     if not json_values.is_number(lease_s) or not _MIN_LEASE_S <= lease_s <= _MAX_LEASE_S:
         raise ValueError(
             f"fleet: hold_s: expected {_MIN_LEASE_S:g} to {_MAX_LEASE_S:g} s, got {lease_s!r:.60}"
--- a/dunepulley/control/codec.py
+++ b/dunepulley/control/codec.py
@@ -12,7 +12,6 @@
 
 from dunepulley.control.caspaxos import MAX_VALUE_LENGTH, AcceptorReply, Ballot
 from dunepulley.control.fields import (
-    MAX_COUNT,
     parse_count,
     parse_duration,
     parse_fraction,
@@ -60,9 +59,7 @@
     if not isinstance(value, list) or len(value) != 2 or not isinstance(value[1], str):
         raise ProtocolError(f"ballot: expected [counter, proposer], got {type(value).__name__}")
     counter, proposer = value
-    if not is_number(counter) or isinstance(counter, float) or not 0 <= counter < MAX_COUNT:
-        raise ProtocolError(f"ballot: counter: expected an integer from 0 to 2**53, got {counter!r:.60}")
-    return Ballot(counter, proposer)
+    return Ballot(parse_count(counter, "ballot: counter"), proposer)
 
 
 def encode_reply(reply: AcceptorReply) -> dict[str, Any]:
--- a/dunepulley/control/fields.py
+++ b/dunepulley/control/fields.py
@@ -35,7 +35,7 @@
 def parse_count(value: Any, field: str) -> int:
     """An integer from 0 to 2**53 - 1."""
     if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value < MAX_COUNT:
-        raise ProtocolError(f"{field}: expected an integer from 0 to 2**53, got {value!r:.60}")
+        raise ProtocolError(f"{field}: expected an integer from 0 to {MAX_COUNT - 1}, got {value!r:.60}")
     return value
 
 
