Tests of a cancellation that nobody heard, and of an attempt that ended before its first byte

Where hedging is allowed, a cancellation that the endpoint did not hear counted as done, and the request was sent there again.

--- a/tests/net/test_core.py
+++ b/tests/net/test_core.py
@@ -198,6 +198,7 @@
     ),
     "the request is answered": lambda case, pending, attempt: pending.settle(Answer(Fail)) or [],
     "the attempt is cancelled": lambda case, pending, attempt: setattr(attempt, "cancelled", True) or [],
+    "the attempt has ended": lambda case, pending, attempt: setattr(attempt, "result", "cut") or [],
     "the start window ends": lambda case, pending, attempt: (
         setattr(case.core, "clock", lambda: attempt.start_before_ms) or []
     ),
--- a/tests/net/test_repeated_callbacks.py
+++ b/tests/net/test_repeated_callbacks.py
@@ -3,6 +3,7 @@
 import pytest
 from support.dispatcher_rig import KEY, LATE_OBJECTIVES, LOOK, PAY, STORE, DispatcherRig
 from support.event_loop import on_loop, until
+from support.fake_server import ABORT
 from support.http_messages import ACCEPTED, read_message, request, response
 
 
@@ -100,3 +101,25 @@
         await rig.callback("w0", "done", result="made")
         assert (await read_message(reader)).target == "200"
         writer.close()
+
+
+@on_loop
+async def test_endpoint_that_did_not_confirm_a_cancellation_gets_no_other_attempt():
+    # Guards against a second attempt at an endpoint whose first one was cancelled, unheard, and still waits.
+    settings = {f"categories__{number}__dueTimeMs": 3000.0 for number in range(3)}
+    async with DispatcherRig(
+        *[lambda call: ABORT if call.method == "DELETE" else ACCEPTED] * 2, **settings
+    ) as rig:
+        rig.core.router.retry_budget.balance = 10.0
+        reader, writer = await rig.connect()
+        writer.write(request(LOOK))
+        await next_attempt(rig, 0)
+        hedge = await next_attempt(rig, 1)
+        await rig.callback(hedge, "started")
+        first = rig.core.requests["a"].attempts[0]
+        await until(lambda: first.result)
+        await rig.callback(hedge, "lost")
+        await free_all_slots(rig)
+        assert (await read_message(reader)).target == "503"
+        assert attempts_received(rig) == ["w0", "w1"]
+        writer.close()
