The load tool's runner in parts: session, traffic source, configurations, runner

Moved as they were, but for the writer of configurations, which is handed ports and addresses in place of the whole run.

--- a/dunepulley/load/command.py
+++ b/dunepulley/load/command.py
@@ -28,8 +28,8 @@
 def run(options: argparse.Namespace) -> int:
     """Run `load`; return the exit code."""
     try:
-        from dunepulley.load import runner
+        from dunepulley.load import session
     except ImportError as problem:
         print(f"dunepulley: {problem}: pip install -r requirements-model.txt", file=sys.stderr)
         return 2
-    return runner.run(options)
+    return session.run(options)
--- a/dunepulley/load/runner.py
+++ b/dunepulley/load/runner.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import contextlib
 import functools
-import json
 import signal
-import sys
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
@@ -21,22 +18,18 @@
 from dunepulley import trace_format
 from dunepulley.load import check, faults
 from dunepulley.load.clients import ClientRequest, Clients, Dispatchers, open_session
+from dunepulley.load.configurations import ConfigurationWriter
 from dunepulley.load.local import Catalog, RealTime, free_ports, member, serve_catalog
 from dunepulley.load.processes import Processes
-from dunepulley.load.record import Record, RecordError, read
+from dunepulley.load.record import Record
 from dunepulley.load.stub_servers import StubServers, load_report_fields
-from dunepulley.model import compare
+from dunepulley.load.traffic_source import scenario_requests, trace_requests
 from dunepulley.model import scenario as scenarios
-from dunepulley.model.plans import simulated_regions
 from dunepulley.model.server import ModelServer
 from dunepulley.model.simulation import Simulation
-from dunepulley.model.traffic import spread_out
 from dunepulley.routing.events import EndpointState
 
 READY_TIMEOUT_S = 30.0
-MAX_RUN_S = 600.0
-# The limit of sockets in the configuration of a dispatcher.
-SOCKETS = 1024
 # The state that the rules use for each phase in discovery's list.
 STATES = {"Ready": EndpointState.READY, "Terminating": EndpointState.DRAINING}
 
@@ -63,10 +56,18 @@
         count = len(self.participants.dispatcher_zones)
         ports = free_ports(2 * count + len(self.participants.agent_zones))
         self.client_ports = dict(zip(self.participants.dispatcher_zones, ports[:count], strict=True))
-        self.admin_ports = dict(
-            zip(self.participants.dispatcher_zones, ports[count : 2 * count], strict=True)
+        admin_ports = dict(zip(self.participants.dispatcher_zones, ports[count : 2 * count], strict=True))
+        agent_ports = dict(zip(self.participants.agent_zones, ports[2 * count :], strict=True))
+        self.configurations = ConfigurationWriter(
+            folder,
+            scenario,
+            seed,
+            self.participants,
+            self.faults,
+            self.client_ports,
+            admin_ports,
+            agent_ports,
         )
-        self.agent_ports = dict(zip(self.participants.agent_zones, ports[2 * count :], strict=True))
         # Per dispatcher: its discovery's list, the address of that discovery, and the last states sent to it.
         self.catalogs: dict[str, Catalog] = {}
         self.discoveries: dict[str, str] = {}
@@ -313,7 +314,7 @@
                 )
                 catalog.on_written = functools.partial(self._record_list, name)
                 self.catalogs[name] = catalog
-            write_configurations(self, settings)
+            self.configurations.write(settings, self.discoveries, self.listed)
             for name in (*self.participants.dispatcher_zones, *self.participants.agent_zones):
                 await self.start(name, first=True)
             await asyncio.gather(
@@ -339,121 +340,6 @@
         return results | {"broken": violations, "seed": self.seed}
 
 
-def write_configurations(run: LoadRun, settings: dict[str, Any]) -> None:
-    """Write the configuration files of the dispatchers and agents."""
-    folder = run.processes.folder
-    common = run.scenario.way == scenarios.COMMON_PLAN
-    for dispatcher, name in enumerate(run.participants.dispatcher_zones):
-        discovery = run.faults.routed_address(name, faults.DISCOVERY, run.discoveries[name])
-        top_level: dict[str, Any] = {"listen": f"127.0.0.1:{run.client_ports[name]}", "discovery": discovery}
-        top_level["known"] = {"revision": 1, "complete": True, "members": run.listed(name)}
-        if common:
-            top_level |= {"console": f"127.0.0.1:{run.admin_ports[name]}", "plan": True}
-        document = dispatcher_configuration(run.scenario, run.seed, dispatcher, settings, **top_level)
-        (folder / f"{name}.json").write_text(json.dumps(document))
-    for name, zone in run.participants.agent_zones.items():
-        (folder / f"{name}.toml").write_text(agent_configuration(run, name, zone))
-    if common and run.scenario.regions:
-        (folder / "regions.toml").write_text(regions_text(run.scenario))
-
-
-def agent_configuration(run: LoadRun, name: str, zone: str) -> str:
-    """Return the configuration of a zone's agent as TOML."""
-    lines = [f'listen = "127.0.0.1:{run.agent_ports[name]}"', f'state = "{name}-drains.json"']
-    lines.append("answer_s = 1.0")
-    for dispatcher in [
-        dispatcher for dispatcher, home_zone in run.participants.dispatcher_zones.items() if home_zone == zone
-    ]:
-        address = run.faults.routed_address(name, dispatcher, f"127.0.0.1:{run.admin_ports[dispatcher]}")
-        lines += ["[[dispatcher]]", f'name = "{dispatcher}"', f'console = "{address}"']
-    lines += ["[fleet]", f'name = "{name}"', f'votes = "{name}.votes"']
-    if run.scenario.regions:
-        lines.append('regions = "regions.toml"')
-    for other, port in run.agent_ports.items():
-        address = f"127.0.0.1:{port}"
-        if other != name:
-            address = run.faults.routed_address(name, other, address)
-        lines += ["[[fleet.member]]", f'name = "{other}"', f'address = "{address}"']
-    return "\n".join(lines) + "\n"
-
-
-def regions_text(scenario: scenarios.Scenario) -> str:
-    """Return the regions file of a scenario as TOML."""
-    lines = []
-    for region in simulated_regions(scenario.zones, scenario.regions).regions:
-        lines += ["[[region]]", f'name = "{region.name}"']
-        lines += [f"zones = {json.dumps(region.zones)}", f"near = {json.dumps(region.near)}"]
-    return "\n".join(lines) + "\n"
-
-
-def scenario_requests(scenario: scenarios.Scenario, simulation: Simulation) -> dict[str, ClientRequest]:
-    """Return the requests of the simulated traffic, by id."""
-    return {
-        request_id: ClientRequest(
-            at,
-            request_class.name,
-            request_class.expiry_ms,
-            work if scenario.hints else 0.0,
-            64,
-            work,
-            dispatcher,
-        )
-        for request_id, at, request_class, work, dispatcher in simulation.planned_requests
-    }
-
-
-def trace_requests(
-    scenario: scenarios.Scenario, trace: list[trace_format.RecordedRequest], seed: int
-) -> dict[str, ClientRequest]:
-    """Return the requests of a trace, by id.
-
-    The run time of a request is the expected time that it was recorded with, or else drawn from its class.
-    """
-    rng = np.random.default_rng(seed)
-    request_classes = {request_class.name: request_class for request_class in scenario.categories}
-    requests = {}
-    for number, recorded in enumerate(trace):
-        request_class = request_classes.get(recorded.category)
-        if request_class is None:
-            raise trace_format.TraceError(
-                f"line {number + 2}: the scenario has no category {recorded.category}"
-            )
-        drawn_work = request_class.work_ms * float(spread_out(rng.normal(), request_class.work_cv))
-        dispatcher = int(rng.integers(0, scenario.dispatchers))
-        work = recorded.hint or drawn_work
-        requests[f"i{number}"] = ClientRequest(
-            recorded.at, recorded.category, recorded.budget, recorded.hint, recorded.size, work, dispatcher
-        )
-    return requests
-
-
-def nest_settings(settings: dict[str, Any]) -> dict[str, Any]:
-    """Return settings with dotted names in the nested form of a dispatcher's configuration file."""
-    document: dict[str, Any] = {}
-    for name, value in settings.items():
-        *path, last = name.split(".")
-        table = document
-        for key in path:
-            table = table.setdefault(key, {})
-        table[last] = list(value) if isinstance(value, tuple) else value
-    categories = document.pop("categories", {})
-    categories.pop("count", None)
-    document["categories"] = [categories[number] for number in sorted(categories, key=int)]
-    return document
-
-
-def dispatcher_configuration(
-    scenario: scenarios.Scenario, seed: int, dispatcher: int, settings: dict[str, Any], **more: Any
-) -> dict[str, Any]:
-    """Return the configuration of a dispatcher; `more` adds top-level keys."""
-    return {
-        "name": f"n{dispatcher}",
-        "seed": f"{seed * 1009 + dispatcher:x}",
-        "limits": {"sockets": SOCKETS},
-        "settings": nest_settings(scenarios.router_settings(scenario, dispatcher) | settings),
-    } | more
-
-
 async def run_scenario(
     scenario: scenarios.Scenario,
     seed: int,
@@ -481,68 +367,3 @@
             asyncio.get_running_loop().remove_signal_handler(signal.SIGTERM)
             if record is not None:
                 load_run.record.write(*record, seed)
-
-
-def run(options: argparse.Namespace) -> int:
-    """Run `dunepulley load`; return 1 where a rule was violated, 2 where an argument or file is invalid."""
-    try:
-        scenario = scenarios.read(options.day)
-        settings = compare.read_settings(options.settings) if options.settings else {}
-        trace = trace_format.read_trace(options.trace) if options.trace else None
-        if options.check:
-            return _print_violations(check.find_violations(scenario, read(options.check)))
-        _check_runnable(scenario, trace, options)
-    except (scenarios.ScenarioError, trace_format.TraceError, RecordError, ValueError) as problem:
-        print(f"dunepulley: {problem}", file=sys.stderr)
-        return 2
-    results = []
-    for seed in options.seeds:
-        started_s = time.monotonic()
-        try:
-            record = (options.record, options.day) if options.record else None
-            results.append(asyncio.run(run_scenario(scenario, seed, settings, trace, record)))
-        except (trace_format.TraceError, RecordError) as problem:
-            print(f"dunepulley: {problem}", file=sys.stderr)
-            return 2
-        except (asyncio.CancelledError, KeyboardInterrupt):
-            print("dunepulley: interrupted; all processes that were started have ended", file=sys.stderr)
-            return 2
-        if not options.json:
-            _print_run(seed, results[-1], time.monotonic() - started_s)
-    if options.json:
-        print(json.dumps(results, indent=2))
-    return 1 if any([result["broken"] for result in results]) else 0
-
-
-def _check_runnable(
-    scenario: scenarios.Scenario,
-    trace: list[trace_format.RecordedRequest] | None,
-    options: argparse.Namespace,
-) -> None:
-    """Raise ValueError where the scenario cannot be run with these options."""
-    for seed in options.seeds:
-        faults.plan_faults(scenario, seed)
-    longest = max(
-        [scenario.seconds, trace[-1].at / 1000.0 if trace else 0.0, *[f.to_s for f in scenario.faults]]
-    )
-    if longest > MAX_RUN_S:
-        raise ValueError(f"{longest:g} s are more than the {MAX_RUN_S:g} s that a run may take")
-    if options.record and len(options.seeds) > 1:
-        raise ValueError("--record: expected one seed, as a record holds one run")
-    if scenario.way == scenarios.COMMON_PLAN and scenario.dispatchers < scenario.zones:
-        raise ValueError(f"{options.day}: dispatchers: expected at least one for the agent of each zone")
-
-
-def _print_run(seed: int, results: dict[str, Any], duration_s: float) -> None:
-    print(f"seed {seed:<5} payoff {results['payoff']:.4f}  {results['answers']}", end="  ")
-    print(f"answered after {results['answered after ms']} ms", end=", ")
-    print(f"sent late by {results['sent late by ms']} ms, {duration_s:.0f} s")
-    for violation in results["broken"]:
-        print(f"  broken, {violation}")
-
-
-def _print_violations(violations: list[str]) -> int:
-    for violation in violations:
-        print(f"broken, {violation}")
-    print(f"{len(violations)} breaks told")
-    return 1 if violations else 0
--- a/tests/load/test_load_input.py
+++ b/tests/load/test_load_input.py
@@ -11,7 +11,7 @@
 
 from dunepulley import trace_format
 from dunepulley.__main__ import main
-from dunepulley.load import runner
+from dunepulley.load import configurations
 from dunepulley.model.scenario import Scenario, router_settings
 from dunepulley.net import config, recorder
 from dunepulley.net.settings_document import flatten_settings
@@ -158,6 +158,8 @@
 def test_settings_survive_the_round_trip_through_a_configuration_file():
     scenario = Scenario(dispatchers=3)
     settings = router_settings(scenario, 1)
-    assert flatten_settings(json.loads(json.dumps(runner.nest_settings(settings)))) == settings
-    start = runner.dispatcher_configuration(scenario, 3, 1, {}, listen="127.0.0.1:1", discovery="127.0.0.1:2")
+    assert flatten_settings(json.loads(json.dumps(configurations.nest_settings(settings)))) == settings
+    start = configurations.dispatcher_configuration(
+        scenario, 3, 1, {}, listen="127.0.0.1:1", discovery="127.0.0.1:2"
+    )
     assert start["name"] == "n1" and members(member("w0", "127.0.0.1:1"))
