A value of a thousand levels in a message is a protocol error, not an internal one

The JSON parser reads 1,010 levels, and writing such a value into the text of an error raised RecursionError: the agent answered "internal error" and logged a fault. json_values.describe now writes values for the errors of fields, drains, ballots, commands and versions; the texts of other values are as before. A name of a command that is no text is looked up no more. The seven cases of test_codec.py and the two of test_agent.py expect the error.

--- a/dunepulley/agent/server.py
+++ b/dunepulley/agent/server.py
@@ -13,6 +13,7 @@
 from dunepulley.agent.drain_file import DrainFileError
 from dunepulley.agent.results import ResultState
 from dunepulley.control.drains import DrainRefusedError
+from dunepulley.json_values import describe
 from dunepulley.net import log
 from dunepulley.net.log_events import LogEvent
 
@@ -108,12 +109,13 @@
 
     def _handler_of(self, command: object) -> Handler:
         """Return the handler of a command. Raises `RequestError` if there is none."""
-        handler = self._handlers.get(str(command))
+        handler = self._handlers.get(command) if isinstance(command, str) else None
         if handler is not None:
             return handler
         if command in _FLEET_COMMANDS:
             raise RequestError("this agent is of no fleet")
-        raise RequestError(f"there is no {str(command)[:_MAX_SHOWN_COMMAND]!r} to do")
+        name = command if isinstance(command, str) else describe(command)
+        raise RequestError(f"there is no {name[:_MAX_SHOWN_COMMAND]!r} to do")
 
 
 def _refusal(reason: str) -> dict[str, Any]:
--- a/dunepulley/agent/wire.py
+++ b/dunepulley/agent/wire.py
@@ -13,6 +13,7 @@
 import orjson
 
 from dunepulley.errors import UnavailableError
+from dunepulley.json_values import describe
 from dunepulley.net.addresses import parse_address
 
 VERSION = 2
@@ -45,8 +46,10 @@
     if not isinstance(message, dict) or "v" not in message:
         raise WireError(f"{peer} speaks another wire")
     if message["v"] != VERSION:
-        version = str(message["v"])[:_MAX_SHOWN_VERSION]
-        raise VersionError(f"{peer} speaks version {version} of the wire, this is version {VERSION}")
+        version = message["v"] if isinstance(message["v"], str) else describe(message["v"])
+        raise VersionError(
+            f"{peer} speaks version {version[:_MAX_SHOWN_VERSION]} of the wire, this is version {VERSION}"
+        )
     return message
 
 
--- a/dunepulley/control/codec.py
+++ b/dunepulley/control/codec.py
@@ -36,7 +36,7 @@
     ZoneState,
 )
 from dunepulley.errors import ProtocolError
-from dunepulley.json_values import is_number
+from dunepulley.json_values import describe, is_number
 
 MAX_OPERATOR_LENGTH = 64
 MAX_REASON_LENGTH = 200
@@ -154,7 +154,7 @@
         state = ZoneState(state_text)
     except ValueError as error:
         raise ProtocolError(
-            f"zone {name}: state: expected one of {', '.join(ZoneState)}, got {state_text!r:.60}"
+            f"zone {name}: state: expected one of {', '.join(ZoneState)}, got {describe(state_text)}"
         ) from error
     if not isinstance(over, list) or len(over) > MAX_ZONES:
         raise ProtocolError(f"zone {name}: over: expected a list of at most {MAX_ZONES} elements")
@@ -182,7 +182,7 @@
     """Decode an operator override of a plan."""
     action = value.get("what")
     if action not in STANDING_ACTIONS:
-        raise ProtocolError(f"what: expected one of {', '.join(STANDING_ACTIONS)}, got {action!r:.60}")
+        raise ProtocolError(f"what: expected one of {', '.join(STANDING_ACTIONS)}, got {describe(action)}")
     remaining = value.get("left")
     return OperatorOverride(
         parse_name(value.get("zone"), "zone"),
--- a/dunepulley/control/drain_json.py
+++ b/dunepulley/control/drain_json.py
@@ -25,6 +25,7 @@
     TargetKind,
 )
 from dunepulley.errors import ProtocolError
+from dunepulley.json_values import describe
 
 MAX_LENGTHS = {"name": 128, "by": 64, "why": 200}
 """The maximum length in characters of the text under each key."""
@@ -146,7 +147,7 @@
         raise ProtocolError(f"ended: expected a list of objects, found {type(value).__name__} in it")
     reason = value.get("how")
     if reason not in tuple(EndReason):
-        raise ProtocolError(f"how: expected one of {', '.join(EndReason)}, got {reason!r:.60}")
+        raise ProtocolError(f"how: expected one of {', '.join(EndReason)}, got {describe(reason)}")
     ended_ms = _parse_number(value.get("at"), "at")
     drain = decode_drain(value.get("drain"))
     return EndedDrain(drain, ended_ms, parse_text(value.get("by"), "by"), EndReason(reason))
@@ -168,13 +169,13 @@
 def _parse_target_kind(value: Any) -> TargetKind:
     kinds = tuple(TargetKind)
     if value not in kinds:
-        raise ProtocolError(f"what is {value!r}, none of {', '.join(kinds)}")
+        raise ProtocolError(f"what is {describe(value)}, none of {', '.join(kinds)}")
     return TargetKind(value)
 
 
 def _parse_number(value: Any, key: str) -> float:
     if not fields.is_non_negative_number(value):
-        raise ProtocolError(f"{key}: expected a number from 0 on, got {value!r:.60}")
+        raise ProtocolError(f"{key}: expected a number from 0 on, got {describe(value)}")
     return float(value)
 
 
--- a/dunepulley/control/fields.py
+++ b/dunepulley/control/fields.py
@@ -8,7 +8,7 @@
 from typing import Any, TypeGuard
 
 from dunepulley.errors import ProtocolError
-from dunepulley.json_values import is_number
+from dunepulley.json_values import describe, is_number
 
 MAX_NAME_LENGTH = 64
 # Larger integers are not exact in readers that use double-precision floating-point numbers.
@@ -20,7 +20,7 @@
     """A printable name of 1 to 64 characters, without line breaks."""
     if not isinstance(value, str) or not value or not value.isprintable() or len(value) > MAX_NAME_LENGTH:
         raise ProtocolError(
-            f"{field}: expected a printable name of 1 to {MAX_NAME_LENGTH} characters, got {value!r:.60}"
+            f"{field}: expected a printable name of 1 to {MAX_NAME_LENGTH} characters, got {describe(value)}"
         )
     return value
 
@@ -35,28 +35,28 @@
 def parse_count(value: Any, field: str) -> int:
     """An integer from 0 to 2**53 - 1."""
     if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value < MAX_COUNT:
-        raise ProtocolError(f"{field}: expected an integer from 0 to {MAX_COUNT - 1}, got {value!r:.60}")
+        raise ProtocolError(f"{field}: expected an integer from 0 to {MAX_COUNT - 1}, got {describe(value)}")
     return value
 
 
 def parse_fraction(value: Any, field: str) -> float:
     """A number from 0 to 1."""
     if not is_number(value) or not 0.0 <= value <= 1.0:
-        raise ProtocolError(f"{field}: expected a number from 0 to 1, got {value!r:.60}")
+        raise ProtocolError(f"{field}: expected a number from 0 to 1, got {describe(value)}")
     return float(value)
 
 
 def parse_duration(value: Any, field: str) -> float:
     """A time in ms, 0 or more."""
     if not is_non_negative_number(value):
-        raise ProtocolError(f"{field}: expected a time in ms from 0 on, got {value!r:.60}")
+        raise ProtocolError(f"{field}: expected a time in ms from 0 on, got {describe(value)}")
     return float(value)
 
 
 def parse_number(value: Any, field: str) -> float:
     """A number, 0 or more."""
     if not is_non_negative_number(value):
-        raise ProtocolError(f"{field}: expected a number from 0 on, got {value!r:.60}")
+        raise ProtocolError(f"{field}: expected a number from 0 on, got {describe(value)}")
     return float(value)
 
 
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -227,6 +227,16 @@
             assert reply["ok"] is False and reply["refused"] and "\n" not in reply["refused"], request_
         reply = await wire.ask(f"127.0.0.1:{host_agent.port}", {"v": 7, "do": "list"}, 5.0)
         assert reply["refused"] == "the tool speaks version 7 of the wire, this is version 2"
+        # Guards against an internal error: a value of a thousand levels cannot be written as text.
+        nested = b"[" * 1010 + b"]" * 1010
+        for line, fragment in (
+            (b'{"v":2,"do":%s}\n' % nested, "there is no 'a list of too many levels' to do"),
+            (b'{"v":%s}\n' % nested, "speaks version a list of too ma"),
+        ):
+            reader, writer = await asyncio.open_connection("127.0.0.1", host_agent.port)
+            writer.write(line)
+            assert fragment in json.loads(await reader.readuntil(b"\n"))["refused"]
+            writer.close()
         assert host_agent.drains.revision == 0 and not rig.frontend.drain_state
         # Connections without a command, or with a part of one, do not delay other clients.
         partial = [await asyncio.open_connection("127.0.0.1", host_agent.port) for _ in range(10)]
--- a/tests/control/test_codec.py
+++ b/tests/control/test_codec.py
@@ -3,7 +3,7 @@
 import orjson
 import pytest
 
-from dunepulley.control import codec
+from dunepulley.control import codec, drain_json, fields
 from dunepulley.control.caspaxos import AcceptorReply, Ballot, ChangeRefusedError
 from dunepulley.control.fleet_view import DispatcherReport, Observation, PlacementReport, ZoneCounters
 from dunepulley.control.plan_application import FollowerMode
@@ -106,3 +106,21 @@
     assert issubclass(ChangeRefusedError, RefusedError)
     for error in (ConfigurationError, ProtocolError, RefusedError):
         assert issubclass(error, DunepulleyError)
+
+
+@pytest.mark.parametrize(
+    "parse",
+    [
+        fields.parse_name,
+        fields.parse_count,
+        fields.parse_fraction,
+        fields.parse_duration,
+        fields.parse_number,
+        lambda value, field: codec.decode_ballot([value, field]),
+        lambda value, field: drain_json.decode_drain({"what": value}),
+    ],
+)
+def test_a_value_of_a_thousand_levels_is_a_protocol_error(parse):
+    # Guards against a RecursionError in the text of the error, which no caller expects.
+    with pytest.raises(ProtocolError, match="a list of too many levels"):
+        parse(orjson.loads(b"[" * 1010 + b"]" * 1010), "any")
