Only endpoints that accepted an attempt or reported on it get no other one of the request

test_idle_connections.py passes as it was, with test_repeated_callbacks.py, test_core.py, test_rules.py (132 passed).

--- a/dunepulley/net/messages.py
+++ b/dunepulley/net/messages.py
@@ -120,12 +120,8 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def may_be_reported(self) -> bool:
-        """Whether the endpoint may report on it by callback, for the first time or once more.
-
-        A response other than the acceptance is itself the report.
-        """
-        has_no_response = self.fully_written and not self.response_started
-        return self.accepted or self.callback_received or has_no_response
+        """Whether the endpoint is known to report on it by callback, for the first time or once more."""
+        return self.accepted or self.callback_received
 
 
 class RequestReceived(NamedTuple):
--- a/dunepulley/routing/events.py
+++ b/dunepulley/routing/events.py
@@ -109,8 +109,8 @@
 class AttemptEnded(NamedTuple):
     """An attempt has ended; `answered` is whether the client needs no further response.
 
-    `may_be_reported` is whether the endpoint may still report on the attempt. A report does not tell which of
-    the attempts at its endpoint it is about.
+    `may_be_reported` is whether the endpoint has accepted the attempt or reported on it, so that it may do so
+    again. A report does not tell which of the attempts at its endpoint it is about.
     """
 
     request_id: str
