Only a reported end or an unheard cancellation bars an endpoint from the request

may_be_reported is now that a callback has ended the attempt, or that its cancellation was not confirmed: only these can be reported after their end and be taken for the next attempt's. Attempts keep no flag for the acceptance any more.

--- a/dunepulley/net/core.py
+++ b/dunepulley/net/core.py
@@ -249,6 +249,7 @@
         if message.state in (CallbackState.STARTED, CallbackState.RUNNING):
             self.events.append(AttemptStarted(message.request_id, attempt.number, message.progress))
             return
+        attempt.ended_by_callback = True
         result = result_of_callback(message.state, attempts[:-1])
         self._end_attempt(attempt, result, message.load_report, message.result)
 
--- a/dunepulley/net/messages.py
+++ b/dunepulley/net/messages.py
@@ -81,9 +81,10 @@
         write_started: its first byte was about to be written.
         fully_written: its last byte has left the process.
         response_started: the endpoint has begun to respond.
-        accepted: it responded that it reports the result by callback.
         callback_received: the endpoint has sent a callback about it.
+        ended_by_callback: a callback has reported its end.
         cancelled: it was cancelled; nothing more of it may be sent.
+        cancellation_unheard: the endpoint was to be told of the cancellation, and did not confirm it.
         start_refused: `Core.may_begin` found that it must not start any more.
 
     `result` is empty until the attempt has ended.
@@ -91,8 +92,8 @@
 
     __slots__ = ("request", "number", "endpoint_id", "address", "timeout_ms", "started_ms")
     __slots__ += ("start_before_ms", "deadline_s", "timeout_sent_s", "reused_connection", "write_started")
-    __slots__ += ("fully_written", "response_started", "accepted", "callback_received", "cancelled")
-    __slots__ += ("start_refused", "result", "timer")
+    __slots__ += ("fully_written", "response_started", "callback_received", "ended_by_callback", "cancelled")
+    __slots__ += ("cancellation_unheard", "start_refused", "result", "timer")
 
     def __init__(
         self,
@@ -114,14 +115,14 @@
         self.timeout_sent_s = asyncio.get_running_loop().time()
         self.deadline_s = self.timeout_sent_s + timeout_ms / 1000.0
         self.reused_connection = self.write_started = self.fully_written = False
-        self.response_started = self.accepted = self.callback_received = False
-        self.cancelled = self.start_refused = False
+        self.response_started = self.callback_received = self.ended_by_callback = False
+        self.cancelled = self.cancellation_unheard = self.start_refused = False
         self.result = ""
         self.timer: asyncio.TimerHandle | None = None
 
     def may_be_reported(self) -> bool:
-        """Whether the endpoint is known to report on it by callback, for the first time or once more."""
-        return self.accepted or self.callback_received
+        """Whether the endpoint may report on it after its end: once more, or because it still runs it."""
+        return self.ended_by_callback or self.cancellation_unheard
 
 
 class RequestReceived(NamedTuple):
--- a/dunepulley/net/upstream/client.py
+++ b/dunepulley/net/upstream/client.py
@@ -53,6 +53,8 @@
 class _Exchange:
     """The state of an attempt's HTTP exchange."""
 
+    # The endpoint responded with 202: the attempt's result arrives by callback.
+    accepted: bool = False
     result: str = AttemptResult.CONNECTION_LOST
     load_report: dict[str, float] | None = None
 
@@ -180,8 +182,8 @@
         try:
             await self._post(attempt, body, exchange)
         except aiohttp.SocketTimeoutError:
-            self.counters["ho unanswered"] += not attempt.accepted
-            if not attempt.callback_received and not attempt.accepted:
+            self.counters["ho unanswered"] += not exchange.accepted
+            if not attempt.callback_received and not exchange.accepted:
                 # The endpoint may have accepted it: it is cancelled there before the router retries it.
                 reused = attempt.reused_connection
                 result = AttemptResult.STALE_CONNECTION if reused else AttemptResult.CONNECTION_LOST
@@ -189,13 +191,13 @@
             return
         except (aiohttp.ClientError, OSError) as error:
             exchange.result = await self._result_of_failure(attempt, error)
-            may_have_run = exchange.result in _CONNECTION_LOSSES and not attempt.accepted
+            may_have_run = exchange.result in _CONNECTION_LOSSES and not exchange.accepted
             if may_have_run and not self._hedging:
                 # The 202 may have been lost with the connection. Without hedging, only one attempt may run
                 # at a time: this one is cancelled at its endpoint before the router retries elsewhere.
                 self._cancel_at_endpoint(attempt, exchange.result, ended_by_endpoint(error))
                 return
-        if not attempt.accepted:
+        if not exchange.accepted:
             self.put(AttemptFinished(attempt, exchange.result, exchange.load_report))
 
     async def _post(self, attempt: UpstreamAttempt, body: AttemptBody, exchange: _Exchange) -> None:
@@ -219,7 +221,7 @@
             attempt.response_started = True
             if response.status == ACCEPTED:
                 # The result arrives by callback, even if the connection breaks now.
-                attempt.accepted = True
+                exchange.accepted = True
                 self.counters["ho accepted"] += 1
             await read_response_body(response)
             exchange.load_report = load_reports.parse_report_text(response.headers.get("X-Load-Report"), "=")
@@ -289,6 +291,7 @@
             self._finish_cancelled(attempt, result, cancellation.is_confirmed)
 
     def _finish_cancelled(self, attempt: UpstreamAttempt, result: str, is_confirmed: bool) -> None:
+        attempt.cancellation_unheard = not is_confirmed
         # Without hedging, the router must know that the attempt may still be running.
         is_certain = is_confirmed or self._hedging
         self.put(AttemptFinished(attempt, result if is_certain else AttemptResult.CANCEL_UNCONFIRMED))
--- a/dunepulley/routing/events.py
+++ b/dunepulley/routing/events.py
@@ -109,8 +109,9 @@
 class AttemptEnded(NamedTuple):
     """An attempt has ended; `answered` is whether the client needs no further response.
 
-    `may_be_reported` is whether the endpoint has accepted the attempt or reported on it, so that it may do so
-    again. A report does not tell which of the attempts at its endpoint it is about.
+    `may_be_reported` is whether the endpoint may report on the attempt after its end: it has reported the end
+    already and may repeat that, or it did not hear of the cancellation. A report does not tell which of the
+    attempts at its endpoint it is about.
     """
 
     request_id: str
