--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -105,6 +105,7 @@
         self.log: list[tuple[int, dict[str, Any]]] = []
         self.watches: set[asyncio.Queue[bytes | None]] = set()
         self.server: asyncio.Server | None = None
+        self.delay_s = 0.0  # how long a call waits for its answer
 
     @property
     def address(self) -> str:
@@ -140,6 +141,7 @@
             if message is None:
                 return
             self.record.write(self.name, f"is called: {message.target}")
+            await asyncio.sleep(self.delay_s)
             if "stream=1" not in message.target:
                 writer.write(response(200, {}, json.dumps(self.whole()).encode()))
                 return
