--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -478,9 +478,18 @@
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
 
     async def ask(
-        self, request_id: str, target: str, budget_ms: int, key: str = "", body: bytes = b"work"
+        self,
+        request_id: str,
+        target: str,
+        budget_ms: int,
+        key: str = "",
+        body: bytes = b"work",
+        patience_s: float = 0.0,
     ) -> Message | None:
-        """Hand in a request and wait for its answer, up to one second beyond its time; None if none came."""
+        """Hand in a request and wait for its answer; None if none came.
+
+        Without `patience_s` the client waits for one second beyond the request's time.
+        """
         if self.writer is None or self.writer.is_closing() or (self.reader and self.reader.at_eof()):
             await self.open()
         assert self.reader is not None and self.writer is not None
@@ -491,7 +500,7 @@
         self.record.write(self.name, f"sends {request_id} {target} with {budget_ms} ms")
         try:
             self.writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
-            answer = await asyncio.wait_for(read_message(self.reader), budget_ms / 1000.0 + 1.0)
+            answer = await asyncio.wait_for(read_message(self.reader), patience_s or budget_ms / 1000.0 + 1.0)
         except (TimeoutError, OSError):
             answer = None
         if answer is None:
