--- a/review/8/case.py
+++ b/review/8/case.py
@@ -115,4 +115,4 @@
     )
 
 
-rig.run(Path(__file__).resolve().parent, body, 116.0)
+rig.run(Path(__file__).resolve().parent, body, 116.0, rig.MANY_DESCRIPTORS)
--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -24,6 +25,8 @@
 CALLBACK_TRIES = 10
 CALLBACK_PAUSE_S = 0.2
 EMPTY_LINE_S = 2.0
+# The stand-ins of one case are one process; the dispatchers have the limit of their settings.
+USUAL_DESCRIPTORS, MANY_DESCRIPTORS = 512, 4096
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -618,15 +621,31 @@
             await part.stop()
 
 
-def run(folder: Path, body: Callable[[Case], Awaitable[str]], limit_s: float = 110.0) -> None:
+def _raise_descriptors(wanted: int) -> None:
+    """Allow this process, which stands in for many, the descriptors that the case needs."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft >= wanted:
+        return
+    if hard != resource.RLIM_INFINITY and hard < wanted:
+        raise CannotRunError(f"{wanted} descriptors are needed, {hard} are allowed")
+    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
+def run(
+    folder: Path,
+    body: Callable[[Case], Awaitable[str]],
+    limit_s: float = 110.0,
+    descriptors: int = USUAL_DESCRIPTORS,
+) -> None:
     """Run a case and exit; `body` returns how the rule was broken, or an empty text if it held."""
-    sys.exit(asyncio.run(_run(folder, body, limit_s)))
+    sys.exit(asyncio.run(_run(folder, body, limit_s, descriptors)))
 
 
-async def _run(folder: Path, body: Callable[[Case], Awaitable[str]], limit_s: float) -> int:
+async def _run(folder: Path, body: Callable[[Case], Awaitable[str]], limit_s: float, descriptors: int) -> int:
     with tempfile.TemporaryDirectory() as scratch:
         case = Case(folder, Path(scratch))
         try:
+            _raise_descriptors(descriptors)
             broken = await asyncio.wait_for(body(case), limit_s)
         except (CannotRunError, OSError, TimeoutError) as error:
             case.record.write("case", f"could not run: {error!r}")
