--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -54,7 +54,7 @@
     def write(self, who: str, text: str) -> float:
         """Write one line; return its time."""
         now = self.now_ms()
-        self.file.write(f"{now:10.1f} {who}: {text}\n")
+        self.file.write(f"{now:11.1f} {who}: {text}\n")
         return now
 
     def append_logs(self, folder: Path) -> None:
@@ -202,7 +202,7 @@
         self.record, self.name, self.run_s, self.special = record, name, run_s, special
         self.zone, self.cell = zone, cell
         self.tells_start = True
-        self.report: dict[str, float] | None = {"x0": 4.0, "backlog": 0.0, "throughput": 10.0}
+        self.report: dict[str, float] | None = {"x0": 4.0, "backlog": 0.0, "throughput": 12.0}
         self.port = 0
         self.listed_port = 0  # the port in the list, if it is another one: that of a proxy
         self.dispatcher = 0  # the port at which callbacks are due
