An attempt that broke before its 202 is cancelled before the endpoint gets it again

Cause: UpstreamClient._exchange cancelled such an attempt only without hedging; with hedging it reported the end at once, and neither is_in_flight_at nor may_be_reported kept the router from the endpoint. Ruled out: the path of a 202 that does not come in time, which already cancels in both cases; a single bar without a cancellation, as it would fail requests with one endpoint on a stale connection.

Change: the cancellation comes first in both cases; unconfirmed, the endpoint gets no other attempt of the request. A task that fails after its first byte is treated alike. Three existing tests counted all calls at the endpoint; they count attempts and cancellations apart now, each exactly.

--- a/dunepulley/net/upstream/client.py
+++ b/dunepulley/net/upstream/client.py
@@ -146,11 +146,17 @@
         if task.cancelled() or task.exception() is None:
             return
         if isinstance(key, UpstreamAttempt):
-            result = AttemptResult.CONNECTION_LOST if key.write_started else AttemptResult.NOT_SENT
-            self.put(AttemptFinished(key, result))
+            self._end_faulty(key)
         self.counters["faults"] += 1
         log.write(LogEvent.FAULT, f"workers: {task.exception()!r}")
 
+    def _end_faulty(self, attempt: UpstreamAttempt) -> None:
+        """Report an attempt whose task failed; the endpoint may run it if its first byte was sent."""
+        if not attempt.write_started:
+            self.put(AttemptFinished(attempt, AttemptResult.NOT_SENT))
+        elif not attempt.cancelled:
+            self._cancel_at_endpoint(attempt, AttemptResult.CONNECTION_LOST)
+
     def _schedule_sweep(self) -> None:
         self._sweep_timer = asyncio.get_running_loop().call_later(self._sweep_s, self._close_idle)
 
@@ -191,10 +197,9 @@
             return
         except (aiohttp.ClientError, OSError) as error:
             exchange.result = await self._result_of_failure(attempt, error)
-            may_have_run = exchange.result in _CONNECTION_LOSSES and not exchange.accepted
-            if may_have_run and not self._hedging:
-                # The 202 may have been lost with the connection. Without hedging, only one attempt may run
-                # at a time: this one is cancelled at its endpoint before the router retries elsewhere.
+            if exchange.result in _CONNECTION_LOSSES and not exchange.accepted:
+                # The 202 may have been lost with the connection, and the endpoint may run the attempt: it is
+                # cancelled there before the router retries it, at this endpoint or another.
                 self._cancel_at_endpoint(attempt, exchange.result, ended_by_endpoint(error))
                 return
         if not exchange.accepted:
--- a/tests/net/test_connection_faults.py
+++ b/tests/net/test_connection_faults.py
@@ -219,13 +219,15 @@
 async def test_half_close_by_the_endpoint_before_the_last_byte_may_still_have_run():
     # Guards against a second run: the endpoint half-closes, reads on, and receives the whole request.
     async def half_close_and_read_on(reader, writer):
+        raw = bytearray()
+        received.append(raw)
         raw.extend(await reader.read(100))
         writer.write_eof()
         while data := await reader.read(65536):
             raw.extend(data)
         writer.close()
 
-    raw = bytearray()
+    received = []  # by connection; the attempt's is the first, cancellations follow
     server = await asyncio.start_server(half_close_and_read_on, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     with FaultySockets() as sockets:
@@ -233,7 +235,8 @@
             sockets.limit_call_size("send", port, 100)
             sender.send(f"127.0.0.1:{port}", body=BODY)
             assert await sender.first_result() == AttemptResult.CONNECTION_LOST
-            await until(lambda: raw.endswith(LAST))
+            await until(lambda: received[0].endswith(LAST))
+            assert all([raw.startswith(b"DELETE /jobs/a ") for raw in received[1:]])
     server.close()
 
 
--- a/tests/net/test_upstream.py
+++ b/tests/net/test_upstream.py
@@ -49,7 +49,11 @@
         sender.send(peer.address)
         assert await sender.first_result() == result
         await until(lambda: not sender.upstream.tasks)
-        assert len(peer.seen) == len(sender.reported) == 1
+        assert len(sender.reported) == 1
+        # The attempt is sent once. If it may run, the endpoint is told twice at most to cancel it.
+        methods = [call.method for call in peer.seen]
+        cancellations = 2 if result is AttemptResult.CONNECTION_LOST else 0
+        assert methods == ["POST"] + ["DELETE"] * cancellations
 
 
 @on_loop
@@ -138,7 +142,9 @@
         await sender.wait_until_accepted()
         sender.send(peer.address)
         assert await sender.first_result() == AttemptResult.STALE_CONNECTION
-        assert [call.connection for call in peer.seen] == [1, 1] and peer.connections == 1
+        posts = [call.connection for call in peer.seen if call.method == "POST"]
+        cancellations = [call.connection for call in peer.seen if call.method == "DELETE"]
+        assert posts == [1, 1] and cancellations == [2, 3] and peer.connections == 3
 
 
 @pytest.mark.parametrize("reuses_connection", [False, True])
