A connection to an endpoint rests before its reuse, and is closed if anything has arrived

Cause: the pool reuses a connection as soon as one response was read, and a connection between two exchanges goes on parsing what arrives. Ruled out: copies that come with the first response (the library closes that connection already); telling copies by their content, as a response names no request.

Change: upstream/connection_pool.py. A connection rests for 50 ms after a response (REST_S); bytes between two exchanges close it; a connection is taken, and the first byte of an attempt written, only if its socket has nothing to read.

Tests about the immediate reuse of a connection set REST_S to 0; what they check stays.

--- a/dunepulley/net/counters.py
+++ b/dunepulley/net/counters.py
@@ -16,6 +16,8 @@
 HEALTH_CHECKS = "probes"
 # Attempts whose last byte was written.
 ATTEMPTS_WRITTEN = "sends"
+# Connections to endpoints that were closed because bytes came that answered no request.
+UNSOLICITED_DATA = "unsolicited answers"
 
 
 class Counters(Counter):
--- a/dunepulley/net/upstream/client.py
+++ b/dunepulley/net/upstream/client.py
@@ -16,6 +16,7 @@
 from dunepulley.net.messages import AttemptFinished, UpstreamAttempt
 from dunepulley.net.system_errors import OUT_OF_DESCRIPTORS, OUT_OF_MEMORY, is_local_error
 from dunepulley.net.upstream.cancellation import RESPONSE_TIMEOUT_S, Cancellation
+from dunepulley.net.upstream.connection_pool import EndpointConnector
 from dunepulley.net.upstream.request_body import AttemptBody
 from dunepulley.net.upstream.responses import (
     ACCEPTED,
@@ -100,11 +101,12 @@
         trace.on_request_headers_sent.append(_set_timeout_header)
         session = aiohttp.ClientSession(
             # At most an eighth of the descriptors is in use for exchanges at once, a quarter of these with
-            # one endpoint, which may be unresponsive. As many again may be idle.
-            connector=aiohttp.TCPConnector(
+            # one endpoint, which may be unresponsive.
+            connector=EndpointConnector(
+                self.counters,
                 limit=self._max_connections,
                 limit_per_host=max(2, max_descriptors // 32),
-                keepalive_timeout=max(_MIN_REUSE_S, _REUSE_FRACTION * idle_s),
+                keepalive_s=max(_MIN_REUSE_S, _REUSE_FRACTION * idle_s),
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, connect=self._connect_s),
--- /dev/null
+++ b/dunepulley/net/upstream/connection_pool.py
@@ -0,0 +1,90 @@
+"""The pool of connections to endpoints: which connections are reused."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from functools import partial
+from time import monotonic
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from dunepulley.net.counters import UNSOLICITED_DATA, Counters
+
+# After a response, a connection is not reused for this time: an endpoint, or a middlebox, may send the
+# response a second time some milliseconds later.
+REST_S = 0.05
+
+
+class EndpointConnection(ResponseHandler):
+    """A connection to an endpoint, closed as soon as the endpoint sends bytes between two exchanges.
+
+    A response names no request: what arrives between two exchanges would be taken for the response to the
+    next request.
+    """
+
+    def __init__(self, counters: Counters, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._counters = counters
+        self.is_idle = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; if the connection is idle, close it instead."""
+        if not self.is_idle:
+            super().data_received(data)
+        elif self.is_connected():
+            self._counters[UNSOLICITED_DATA] += 1
+            self.force_close()
+            self.transport.abort()
+
+    def may_send_request(self) -> bool:
+        """Whether the next bytes that arrive can only answer a request that is sent now.
+
+        Asks the operating system, too: the event loop may not have read yet what has arrived, or a close.
+        """
+        if not self.is_connected() or self.should_close:
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+
+class EndpointConnector(aiohttp.TCPConnector):
+    """A connection pool that reuses only connections on which no stale response can arrive.
+
+    Args:
+        counters: counts connections that are closed because of unsolicited bytes.
+        limit: the limit for the connections in use.
+        limit_per_host: the limit for the connections in use to one endpoint.
+        keepalive_s: the time in s after which an idle connection is not reused.
+    """
+
+    def __init__(
+        self,
+        counters: Counters,
+        limit: int,
+        limit_per_host: int,
+        keepalive_s: float,
+    ) -> None:
+        super().__init__(limit=limit, limit_per_host=limit_per_host, keepalive_timeout=keepalive_s)
+        self._factory = partial(EndpointConnection, counters, loop=asyncio.get_running_loop())
+
+    async def _get(self, key: Any, traces: Any) -> Any:
+        """Return an idle connection that may be reused, or None."""
+        idle = self._conns.get(key)
+        while idle and not idle[0][0].may_send_request():
+            protocol, _ = idle.popleft()
+            protocol.close()
+        if not idle or monotonic() - idle[0][1] < REST_S:
+            # They are ordered by the time of their last response: none has rested for long enough.
+            return None
+        connection = await super()._get(key, traces)
+        if connection is not None:
+            connection.protocol.is_idle = False
+        return connection
+
+    def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
+        super()._release(key, protocol, should_close=should_close)
+        protocol.is_idle = True
--- a/dunepulley/net/upstream/request_body.py
+++ b/dunepulley/net/upstream/request_body.py
@@ -54,7 +54,7 @@
         # been sent yet, and no other callback runs between this check and the first byte.
         timeout_age_s = asyncio.get_running_loop().time() - self.attempt.timeout_sent_s
         is_stale = self.attempt.cancelled or timeout_age_s > MAX_TIMEOUT_AGE_S
-        if is_stale or not self.may_begin(self.attempt):
+        if is_stale or not writer.protocol.may_send_request() or not self.may_begin(self.attempt):
             self.attempt.start_refused = True
             self.counters["ho barred"] += 1
             raise ConnectionAbortedError("the attempt was cancelled or must not start any more")
--- a/tests/net/test_short_timeouts.py
+++ b/tests/net/test_short_timeouts.py
@@ -13,6 +13,7 @@
 from support.stepped_time import SteppedMonotonicClock
 
 from dunepulley.net.messages import RequestReceived
+from dunepulley.net.upstream import connection_pool
 
 
 class AttemptRecorder:
@@ -38,6 +39,8 @@
     target, timeout_ms, reuses_connection, monkeypatch
 ):
     # Guards against a minimum timeout of 1 ms that counts from the end of a pause, not from the request.
+    monkeypatch.setattr(connection_pool, "REST_S", 0.0)
+
     def respond(call):
         return response(204) if call.method == "DELETE" else ACCEPTED
 
