--- a/dunepulley/net/config.py
+++ b/dunepulley/net/config.py
@@ -17,6 +17,7 @@
 from dunepulley.net.addresses import parse_address
 from dunepulley.net.endpoint_list import EndpointList, parse_endpoint_list
 from dunepulley.net.settings_document import class_settings, flatten_settings
+from dunepulley.net.system_errors import OUT_OF_DESCRIPTORS, OUT_OF_MEMORY
 from dunepulley.routing.events import EndpointListUpdate, ListUpdateKind
 from dunepulley.trace_format import MAX_REQUESTS as MAX_TRACE_REQUESTS
 
@@ -36,6 +37,15 @@
 class ConfigError(Exception):
     """The configuration cannot be used; the message states the reason on one line."""
 
+    def is_transient(self) -> bool:
+        """Whether this host had no descriptor or memory to read a file, which may be readable soon."""
+        cause: BaseException | None = self
+        while cause is not None:
+            if getattr(cause, "errno", None) in OUT_OF_DESCRIPTORS | OUT_OF_MEMORY:
+                return True
+            cause = cause.__cause__
+        return False
+
 
 class TraceConfig(NamedTuple):
     """The file that a trace of requests is written to, and the maximum number of requests in it."""
--- a/dunepulley/net/frontend/connection_table.py
+++ b/dunepulley/net/frontend/connection_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -28,6 +29,8 @@
         # The bytes of partial requests in memory, and their limit.
         self.partial_bytes, self.max_partial_bytes = 0, 12 * 1024 * 1024
         self.counters = counters
+        # Called when a connection was added, to free a descriptor elsewhere if few are left.
+        self.on_accepted: Callable[[], None] = lambda: None
         self.accepted: set[Connection] = set()
         # Connections with no request in progress, and the time of their last change, the oldest first: `new`
         # have sent neither a request nor a callback yet, `partial` have sent part of a request, and `idle`
@@ -47,6 +50,7 @@
             connection.transport.abort()
         self.accepted.add(connection)
         self.mark_idle(connection)
+        self.on_accepted()
 
     def count_rejection(self, status: int, reason: str) -> None:
         """Count and log a request that is rejected before it reaches the router."""
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -70,6 +70,8 @@
         self.frontend = FrontendServer(
             self.core, config.settings, max_descriptors, self.counters, config.affinity_key_in_path
         )
+        self.upstream.share_descriptors_with(lambda: len(self.frontend.server.accepted))
+        self.frontend.server.on_accepted = self.upstream.close_excess_idle
         self.frontend.server.max_partial_bytes = int(config.memory_mb * INCOMPLETE_REQUEST_BYTES_PER_MB)
         self.admin_commands = AdminCommands(config, self.core, self.frontend, self.counters)
         self.admin = self._create_admin_server(max_descriptors)
--- a/dunepulley/net/upstream/client.py
+++ b/dunepulley/net/upstream/client.py
@@ -47,6 +47,9 @@
 _SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 # Statuses of endpoints that are not logged.
 _USUAL_STATUSES = (ACCEPTED, 500, 503, 504)
+# Sixteenths of the descriptors for connections to endpoints and from clients together. Clients may use nine:
+# at least four are left for endpoints. Operators, discovery and files use the remainder.
+_SHARED_SIXTEENTHS = 13
 _CONNECTION_LOSSES = (AttemptResult.CONNECTION_LOST, AttemptResult.STALE_CONNECTION)
 
 
@@ -104,6 +107,7 @@
             # one endpoint, which may be unresponsive.
             connector=EndpointConnector(
                 self.counters,
+                max_connections=max_descriptors * _SHARED_SIXTEENTHS // 16,
                 limit=self._max_connections,
                 limit_per_host=max(2, max_descriptors // 32),
                 keepalive_s=max(_MIN_REUSE_S, _REUSE_FRACTION * idle_s),
@@ -122,6 +126,14 @@
         """Limit the connections to a fraction of the maximum, while another process uses the remainder."""
         self.session.connector._limit = max(4, int(self._max_connections * fraction))
 
+    def share_descriptors_with(self, count_connections: Callable[[], int]) -> None:
+        """Keep fewer idle connections while there are many connections of another kind."""
+        self.session.connector.other_connections = count_connections
+
+    def close_excess_idle(self) -> None:
+        """Close the longest idle connections if too many descriptors are in use."""
+        self.session.connector.close_excess_idle()
+
     async def close(self) -> None:
         """Cancel all tasks and close all connections."""
         if self._sweep_timer is not None:
--- a/dunepulley/net/upstream/connection_pool.py
+++ b/dunepulley/net/upstream/connection_pool.py
@@ -1,9 +1,10 @@
-"""The pool of connections to endpoints: which connections are reused."""
+"""The pool of connections to endpoints: which connections are reused, and how many stay open."""
 
 from __future__ import annotations
 
 import asyncio
 import select
+from collections.abc import Callable
 from functools import partial
 from time import monotonic
 from typing import Any
@@ -56,6 +57,8 @@
 
     Args:
         counters: counts connections that are closed because of unsolicited bytes.
+        max_connections: the limit for the connections in the pool and those of `other_connections` together;
+            the longest idle ones are closed beyond it.
         limit: the limit for the connections in use.
         limit_per_host: the limit for the connections in use to one endpoint.
         keepalive_s: the time in s after which an idle connection is not reused.
@@ -64,12 +67,16 @@
     def __init__(
         self,
         counters: Counters,
+        max_connections: int,
         limit: int,
         limit_per_host: int,
         keepalive_s: float,
     ) -> None:
         super().__init__(limit=limit, limit_per_host=limit_per_host, keepalive_timeout=keepalive_s)
         self._factory = partial(EndpointConnection, counters, loop=asyncio.get_running_loop())
+        self.max_connections = max_connections
+        # The number of connections outside this pool that use the same descriptors.
+        self.other_connections: Callable[[], int] = lambda: 0
 
     async def _get(self, key: Any, traces: Any) -> Any:
         """Return an idle connection that may be reused, or None."""
@@ -77,8 +84,11 @@
         while idle and not idle[0][0].may_send_request():
             protocol, _ = idle.popleft()
             protocol.close()
+        if idle is not None and not idle:
+            del self._conns[key]
         if not idle or monotonic() - idle[0][1] < REST_S:
             # They are ordered by the time of their last response: none has rested for long enough.
+            self.close_excess_idle(new_connections=1)
             return None
         connection = await super()._get(key, traces)
         if connection is not None:
@@ -88,3 +98,18 @@
     def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
         super()._release(key, protocol, should_close=should_close)
         protocol.is_idle = True
+        self.close_excess_idle()
+
+    def close_excess_idle(self, new_connections: int = 0) -> None:
+        """Close the longest idle connections, if there are too many, or would be with `new_connections`."""
+        idle_count = sum([len(idle) for idle in self._conns.values()])
+        total = len(self._acquired) + idle_count + self.other_connections() + new_connections
+        for _ in range(min(total - self.max_connections, idle_count)):
+            self._close_longest_idle()
+
+    def _close_longest_idle(self) -> None:
+        key = min(self._conns, key=lambda key: self._conns[key][0][1])
+        protocol, _ = self._conns[key].popleft()
+        if not self._conns[key]:
+            del self._conns[key]
+        protocol.close()
