Heads that the HTTP library cannot parse are rejected before it and kept by no error

Cause: for each such head the library raises an error whose traceback is a cycle with the head in it, freed only by the garbage collector, which runs each 50,000 objects; the text of each error, with the head escaped, was made also for log lines that were then only counted.

Change: request_head.py checks the lines of a head in one pass; http_handler.py drops the traceback of what only the library finds; a client that has gone before its response raises nothing; a library's message is made only if written. More often collection was ruled out: it costs each request, and the bound would depend on the size of heads.

Two heads of a kind differ in status now: too many fields and long lines get 431, methods that do not exist 405 (400 before).

--- a/dunepulley/net/frontend/connection_table.py
+++ b/dunepulley/net/frontend/connection_table.py
@@ -11,6 +11,7 @@
 from dunepulley.net import log
 from dunepulley.net.counters import Counters
 from dunepulley.net.frontend.connection import Connection
+from dunepulley.net.frontend.http_handler import HttpHandler
 from dunepulley.net.log_events import LogEvent
 
 # Only connections that were idle for longer are evicted: a request may be in transit on the others.
@@ -22,8 +23,12 @@
 class ConnectionTable(web.Server):
     """Tracks incoming connections, limits their number, and limits the bytes of partial requests."""
 
-    def __init__(self, handler: Any, limit: int, counters: Counters, **options: Any) -> None:
-        super().__init__(handler, **options)
+    def __init__(
+        self, handler: Any, limit: int, counters: Counters, request_factory: Any, **handler_options: Any
+    ) -> None:
+        """`handler_options` are those of the library's handler of each connection."""
+        super().__init__(handler, handler_cancellation=True, request_factory=request_factory)
+        self._handler_options = handler_options
         self.loop = asyncio.get_running_loop()
         self.limit = self.full_limit = limit
         # The bytes of partial requests in memory, and their limit.
@@ -39,6 +44,10 @@
         self.partial: dict[Connection, float] = {}
         self.idle: dict[Connection, float] = {}
 
+    def __call__(self) -> HttpHandler:
+        """Return the library's handler for a connection; called when its first request is complete."""
+        return HttpHandler(self, self.count_rejection, loop=self.loop, **self._handler_options)
+
     def connection(self, unread_since_s: float) -> Connection:
         """Return the protocol for a new connection."""
         return Connection(self, unread_since_s)
--- a/dunepulley/net/frontend/framing.py
+++ b/dunepulley/net/frontend/framing.py
@@ -10,6 +10,7 @@
 import re
 
 from dunepulley.net.callbacks import MalformedError
+from dunepulley.net.frontend.request_head import check_head
 
 MAX_BODY_BYTES = 65536
 # A typical head has a few hundred bytes; a head that never ends must not fill the memory.
@@ -21,8 +22,6 @@
 _TRANSFER_ENCODING = re.compile(rb"\r\ntransfer-encoding[ \t]*:([^\r\n]*)", re.I)
 _EMPTY_LINES = re.compile(rb"(?:\r\n)*")
 _EXPECT_CONTINUE = re.compile(rb"\r\nexpect:[ \t]*100-continue", re.I)
-# Bare CR or LF, folded lines and NUL bytes, which parsers interpret differently.
-_AMBIGUOUS = re.compile(rb"(?<!\r)\n|\r(?!\n)|\r\n[ \t]|\0")
 # More than any accepted length has; int() of many thousands of digits would be slow.
 _MAX_LENGTH_DIGITS = 18
 _CHUNK_HEAD = re.compile(rb"0{0,16}([0-9a-fA-F]{1,5})[ \t]*(?:;[^\r\n]{0,256})?\r\n")
@@ -35,9 +34,7 @@
 
 
 def body_length(head: bytes) -> int:
-    """Return the length in bytes of the body that a head declares, or `CHUNKED`."""
-    if _AMBIGUOUS.search(head):
-        raise MalformedError(400, "lines that end oddly or are folded")
+    """Return the length in bytes of the body that a checked head declares, or `CHUNKED`."""
     lengths = _field_values(_CONTENT_LENGTH, head)
     codings = _field_values(_TRANSFER_ENCODING, head)
     if codings:
@@ -170,7 +167,9 @@
         if end < 0:
             return False
         self._head_length = end + 4
-        length = body_length(bytes(self.received[: end + 2]))
+        head = bytes(self.received[: end + 2])
+        check_head(head)
+        length = body_length(head)
         if length == CHUNKED:
             self._chunks = ChunkedBody(self._head_length)
         else:
--- a/dunepulley/net/frontend/server.py
+++ b/dunepulley/net/frontend/server.py
@@ -88,7 +88,6 @@
             self._serve,
             max_descriptors * 9 // 16,
             counters,
-            handler_cancellation=True,
             request_factory=_request,
             access_log=None,
             auto_decompress=False,
@@ -176,10 +175,11 @@
                 self.is_rejecting or self.drain_state not in (SERVING, SHUTTING_DOWN)
             ):
                 response.force_close()
-            await response.prepare(request)
-            await response.write_eof()
-            if outcome:
-                self.counters[outcome] += 1
+            with contextlib.suppress(ConnectionError):  # the client has gone
+                await response.prepare(request)
+                await response.write_eof()
+                if outcome:
+                    self.counters[outcome] += 1
         finally:
             connection.finish_request()
         return response
--- a/dunepulley/net/log.py
+++ b/dunepulley/net/log.py
@@ -31,6 +31,12 @@
 
 def write(event: str, text: str) -> None:
     """Write one line, or only count it if its event has used up its lines for this period."""
+    if _may_write(event):
+        _print(event, text)
+
+
+def _may_write(event: str) -> bool:
+    """Count a line; return whether its event has lines left in this period."""
     now = time.monotonic()
     period = _periods.get(event)
     if period is None:
@@ -41,9 +47,9 @@
         period = _periods[event] = Period(now)
     if period.written < LINES_PER_PERIOD:
         period.written += 1
-        _print(event, text)
-    else:
-        period.suppressed += 1
+        return True
+    period.suppressed += 1
+    return False
 
 
 def _print(event: str, text: str) -> None:
@@ -59,5 +65,7 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a library's message, with its exception if there is one."""
+        if not _may_write(LogEvent.LIBRARY):
+            return  # before the text is made, which may be much longer than a line
         cause = f": {record.exc_info[1]!r}" if record.exc_info else ""
-        write(LogEvent.LIBRARY, record.getMessage() + cause)
+        _print(LogEvent.LIBRARY, record.getMessage() + cause)
