Bodies in many chunks are decoded step by step, one connection in each turn of the loop

Callers saw: while 300 clients sent bodies in chunks of one byte, or lines of chunks full of blanks, no other client was answered (12 of 12 asked, none within 3 s).

Cause: all chunks that had arrived were decoded when they were read, 21,000 and 60 ms for one connection, for all readable connections in one turn; the pattern of a chunk's line tried its splits again over all bytes received. Ruled out in the same runs: bodies by length that come slowly (222 of 222 answered), slow heads (219 of 219), halves of large requests.

Limits on a body stay. A limit on the number of chunks was ruled out: it would refuse small bodies that a client writes byte by byte.

--- a/dunepulley/net/frontend/connection.py
+++ b/dunepulley/net/frontend/connection.py
@@ -9,7 +9,8 @@
 from aiohttp.web_protocol import RequestHandler
 
 from dunepulley.net.callbacks import MalformedError
-from dunepulley.net.frontend.framing import MAX_BODY_BYTES, RequestBuffer
+from dunepulley.net.frontend.framing import RequestBuffer
+from dunepulley.net.frontend.limits import MAX_BODY_BYTES
 from dunepulley.net.tcp_info import last_data_age_ms
 
 if TYPE_CHECKING:
@@ -106,8 +107,12 @@
         if self.timer is None:
             self._start_request()
         self.buffer.add(data)
+        self._read_request(len(data))
+
+    def _read_request(self, added: int) -> None:
+        """Look for the end of the request, `added` bytes of which have just arrived."""
         try:
-            is_complete = self.buffer.is_complete(len(data))
+            is_complete = self.buffer.is_complete(added)
         except MalformedError as problem:
             self.reject(*problem.args)
             return
@@ -115,8 +120,19 @@
             self.transport.write(CONTINUE_RESPONSE)
         if is_complete:
             self._hand_to_parser()
-        else:
-            self.table.mark_partial(self)
+            return
+        self.table.mark_partial(self)
+        if self.buffer.has_undecoded():
+            # Read on only when what has arrived is decoded, in a later turn of the event loop.
+            self.transport.pause_reading()
+            self.table.decoding_queue.add(self._decode)
+
+    def _decode(self) -> None:
+        """Decode some more of a request whose body is in many chunks."""
+        if self.transport.is_closing() or not self.buffer.has_undecoded():
+            return  # the request was rejected meanwhile
+        self.transport.resume_reading()
+        self._read_request(0)
 
     def _hand_to_parser(self) -> None:
         raw, excess = self.buffer.take_request()
--- a/dunepulley/net/frontend/connection_table.py
+++ b/dunepulley/net/frontend/connection_table.py
@@ -11,6 +11,7 @@
 from dunepulley.net import log
 from dunepulley.net.counters import Counters
 from dunepulley.net.frontend.connection import Connection
+from dunepulley.net.frontend.decoding_queue import DecodingQueue
 from dunepulley.net.frontend.http_handler import HttpHandler
 from dunepulley.net.log_events import LogEvent
 
@@ -34,6 +35,7 @@
         # The bytes of partial requests in memory, and their limit.
         self.partial_bytes, self.max_partial_bytes = 0, 12 * 1024 * 1024
         self.counters = counters
+        self.decoding_queue = DecodingQueue(self.loop)
         # Called when a connection was added, to free a descriptor elsewhere if few are left.
         self.on_accepted: Callable[[], None] = lambda: None
         self.accepted: set[Connection] = set()
@@ -74,7 +76,7 @@
         """Record that a connection has received part of a request."""
         self.mark_busy(connection)
         self.partial[connection] = self.loop.time()
-        connection.counted_bytes = len(connection.buffer.received)
+        connection.counted_bytes = connection.buffer.size()
         self.partial_bytes += connection.counted_bytes
         while self.partial_bytes > self.max_partial_bytes:
             self._close_first(self.partial)
--- a/dunepulley/net/frontend/framing.py
+++ b/dunepulley/net/frontend/framing.py
@@ -10,11 +10,10 @@
 import re
 
 from dunepulley.net.callbacks import MalformedError
+from dunepulley.net.frontend.chunked_body import ChunkedBody
+from dunepulley.net.frontend.limits import MAX_BODY_BYTES, MAX_HEAD_BYTES
 from dunepulley.net.frontend.request_head import check_head
 
-MAX_BODY_BYTES = 65536
-# A typical head has a few hundred bytes; a head that never ends must not fill the memory.
-MAX_HEAD_BYTES = 16384
 # Header lines of a head, between its first line and the empty line at its end, each with its value. The
 # blanks around a value are removed separately: a pattern that removes them takes quadratic time.
 _BLANKS = b" \t"
@@ -24,11 +23,6 @@
 _EXPECT_CONTINUE = re.compile(rb"\r\nexpect:[ \t]*100-continue", re.I)
 # More than any accepted length has; int() of many thousands of digits would be slow.
 _MAX_LENGTH_DIGITS = 18
-_CHUNK_HEAD = re.compile(rb"0{0,16}([0-9a-fA-F]{1,5})[ \t]*(?:;[^\r\n]{0,256})?\r\n")
-_MAX_CHUNK_HEAD_BYTES = 300
-# The trailer section behind the last chunk, with the empty line at its end. Its fields are not used.
-_TRAILER = re.compile(rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r\n)*\r\n")
-_MAX_TRAILER_BYTES = 2048
 # Returned by `body_length` for a body with chunked transfer coding.
 CHUNKED = -1
 
@@ -60,56 +54,6 @@
     return _EXPECT_CONTINUE.search(head) is not None
 
 
-class ChunkedBody:
-    """Decodes a chunked body as it arrives; chunk extensions and trailers are dropped."""
-
-    __slots__ = ("body", "_position", "_has_last_chunk")
-
-    def __init__(self, start: int) -> None:
-        self.body = bytearray()
-        self._position = start
-        # After the last chunk, only trailers may follow.
-        self._has_last_chunk = False
-
-    def find_end(self, received: bytearray) -> int:
-        """Return the offset of the body's end in the received bytes; 0 while the body is incomplete."""
-        while not self._has_last_chunk:
-            if not self._read_chunk(received):
-                return 0
-        return self._find_trailer_end(received)
-
-    def _read_chunk(self, received: bytearray) -> bool:
-        """Decode the next chunk; return whether it was complete."""
-        head = _CHUNK_HEAD.match(received, self._position)
-        if head is None:
-            if len(received) - self._position > _MAX_CHUNK_HEAD_BYTES or b"\n" in received[self._position :]:
-                raise MalformedError(400, "a chunk without its length")
-            return False
-        size = int(head[1], 16)
-        if size == 0:
-            self._position, self._has_last_chunk = head.end(), True
-            return True
-        if len(self.body) + size > MAX_BODY_BYTES:
-            raise MalformedError(413, "the body is too large")
-        end = head.end() + size + len(b"\r\n")
-        if len(received) < end:
-            return False
-        if received[end - 2 : end] != b"\r\n":
-            raise MalformedError(400, "a chunk of another length than it says")
-        self.body += received[head.end() : end - 2]
-        self._position = end
-        return True
-
-    def _find_trailer_end(self, received: bytearray) -> int:
-        trailer = _TRAILER.match(received, self._position)
-        if trailer is not None and trailer.end() - self._position <= _MAX_TRAILER_BYTES:
-            return trailer.end()
-        is_too_long = len(received) - self._position > _MAX_TRAILER_BYTES
-        if is_too_long or received.find(b"\r\n\r\n", self._position) >= 0:
-            raise MalformedError(400, "what comes behind the last chunk is no trailer")
-        return 0
-
-
 class RequestBuffer:
     """Buffers the received bytes of one request until it is complete."""
 
@@ -125,6 +69,9 @@
 
     def add(self, data: bytes) -> None:
         """Append received bytes."""
+        if self._chunks is not None:
+            self._chunks.add(data)
+            return
         self.received += data
         if not self._head_length:
             # Some clients send an extra CRLF after a body: RFC 9112, 2.2 allows a server to skip it.
@@ -136,28 +83,36 @@
         """Return whether the request is complete; `added` is the number of bytes that were just appended."""
         if not self._head_length and not self._read_head(added):
             return False
-        if self._chunks is not None and not self._length:
-            self._length = self._chunks.find_end(self.received)
-            if not self._length and len(self.received) - self._head_length > 2 * MAX_BODY_BYTES:
-                raise MalformedError(413, "the body is too large")
+        if self._chunks is not None:
+            self._chunks.decode()
+            return self._chunks.is_complete
         return 0 < self._length <= len(self.received)
 
+    def has_undecoded(self) -> bool:
+        """Return whether `is_complete` has to be called again, as it has not decoded all that it could."""
+        return self._chunks is not None and self._chunks.has_more
+
+    def size(self) -> int:
+        """Return the number of bytes in memory."""
+        return len(self.received) + (self._chunks.size() if self._chunks is not None else 0)
+
     def awaits_continue(self) -> bool:
         """Return whether exactly the head was received and the client waits for `100 Continue`."""
         head_length = self._head_length
         if not 0 < head_length == len(self.received) or self._length == head_length:
             return False
+        if self._chunks is not None and self._chunks.encoded_bytes:
+            return False
         return expects_continue(bytes(self.received))
 
     def take_request(self) -> tuple[bytes, int]:
         """Return the complete request, with Content-Length, and the number of bytes behind it."""
-        excess = len(self.received) - self._length
         if self._chunks is None:
-            return bytes(self.received[: self._length]), excess
+            return bytes(self.received[: self._length]), len(self.received) - self._length
         # The next parser need not decode the chunks again.
         length = b"\r\nContent-Length: %d" % len(self._chunks.body)
-        head = _TRANSFER_ENCODING.sub(length, bytes(self.received[: self._head_length]))
-        return head + bytes(self._chunks.body), excess
+        head = _TRANSFER_ENCODING.sub(length, bytes(self.received))
+        return head + bytes(self._chunks.body), self._chunks.excess()
 
     def _read_head(self, added: int) -> bool:
         """Look for the end of the head; return whether the head is complete."""
@@ -171,7 +126,9 @@
         check_head(head)
         length = body_length(head)
         if length == CHUNKED:
-            self._chunks = ChunkedBody(self._head_length)
+            self._chunks = ChunkedBody()
+            self._chunks.add(self.received[self._head_length :])
+            del self.received[self._head_length :]
         else:
             self._length = self._head_length + length
         return True
--- a/dunepulley/net/frontend/server.py
+++ b/dunepulley/net/frontend/server.py
@@ -19,7 +19,7 @@
 from dunepulley.net.counters import Counters
 from dunepulley.net.frontend.connection import Connection
 from dunepulley.net.frontend.connection_table import ConnectionTable
-from dunepulley.net.frontend.framing import MAX_BODY_BYTES
+from dunepulley.net.frontend.limits import MAX_BODY_BYTES
 from dunepulley.net.frontend.request_parser import DELIVERY_MARGIN_MS, RequestParser, read_body
 from dunepulley.net.listener import Listener
 from dunepulley.net.log_events import LogEvent
--- a/tests/net/test_frontend.py
+++ b/tests/net/test_frontend.py
@@ -11,7 +11,7 @@
 from support.fake_server import SILENT
 from support.http_messages import ACCEPTED, read_message, request, response
 
-from dunepulley.net.frontend import framing
+from dunepulley.net.frontend import limits
 from dunepulley.net.upstream import connection_pool
 
 KEY = "Idempotency-Key: k"
@@ -205,7 +205,7 @@
         if split:
             (connection,) = rig.frontend.server.accepted
             writer.write(behind)
-            await until(lambda: connection.excess_bytes >= min(len(behind), framing.MAX_BODY_BYTES))
+            await until(lambda: connection.excess_bytes >= min(len(behind), limits.MAX_BODY_BYTES))
         await rig.callback("w0", "done", result="made")
         message = await read_message(reader)
         assert (message.target, message.body) == ("200", b"made")
--- a/tests/net/test_frontend_hold_up.py
+++ b/tests/net/test_frontend_hold_up.py
@@ -8,7 +8,7 @@
 from support.event_loop import on_loop
 from support.http_messages import ACCEPTED, HEALTH_REQUEST, read_message
 
-from dunepulley.net.frontend.framing import MAX_HEAD_BYTES
+from dunepulley.net.frontend.limits import MAX_HEAD_BYTES
 
 # The longest time, in s, for which a dispatcher may be held up between two of its steps.
 MAX_HOLD_UP_S = 0.15
--- a/tests/net/test_frontend_limits.py
+++ b/tests/net/test_frontend_limits.py
@@ -12,7 +12,7 @@
 from support.http_messages import ACCEPTED, read_message, request, response
 
 from dunepulley.net.frontend import connection as client_connection
-from dunepulley.net.frontend import connection_table, framing
+from dunepulley.net.frontend import connection_table, limits
 
 # A request sent behind another one, which must not be executed.
 HIDDEN = request("/look/2", b"", request_id="hidden")
@@ -35,7 +35,7 @@
         writer.write(request("/look/1") + HIDDEN * 2000)
         await until(lambda: rig.endpoints[0].seen)
         (connection,) = rig.frontend.server.accepted
-        await until(lambda: connection.excess_bytes > framing.MAX_BODY_BYTES)
+        await until(lambda: connection.excess_bytes > limits.MAX_BODY_BYTES)
         writer.transport.abort()
         await until(lambda: [call for call in rig.endpoints[0].seen if call.method == "DELETE"])
         await until(lambda: not rig.core.requests and not rig.frontend.waiting)
