One budget of memory for all requests and responses, from first byte to last

Cause: only incomplete requests were counted. What further stages hold was not: decoded bodies, closed connections until the next turn, the library's last request and response on idle connections, bodies of requests that only wait for cancellations, responses that nobody reads, 256 KB for each read. Ruled out: the number of connections (500 idle ones after a health check: 48 MB), attempts to endpoints (an eighth of the descriptors).

Change: ConnectionTable counts each connection's bytes through all stages against an eighth of the memory limit, closes incomplete requests, then responses unread for 0.5 s, and rejects new requests (503); requests over 8 KB may use three quarters. One read buffer for all; bodies are freed early; a connection is closed after a head of over 4 KB.

--- a/dunepulley/net/frontend/chunked_body.py
+++ b/dunepulley/net/frontend/chunked_body.py
@@ -41,7 +41,7 @@
         # After the last chunk, only trailers may follow.
         self._has_last_chunk = False
 
-    def add(self, data: bytes | bytearray) -> None:
+    def add(self, data: bytes | bytearray | memoryview) -> None:
         """Append received bytes."""
         self._received += data
         self.encoded_bytes += len(data)
--- a/dunepulley/net/frontend/connection.py
+++ b/dunepulley/net/frontend/connection.py
@@ -8,6 +8,7 @@
 
 from aiohttp.web_protocol import RequestHandler
 
+from dunepulley.net import callbacks
 from dunepulley.net.callbacks import MalformedError
 from dunepulley.net.frontend.framing import RequestBuffer
 from dunepulley.net.frontend.limits import MAX_BODY_BYTES
@@ -25,14 +26,21 @@
 KEEP_ALIVE_TIMEOUT_S = 75.0
 # Upper limit for the whole request: no working client needs longer to send 64 KB.
 MAX_REQUEST_S = 10.0
+# The memory that the library needs for a head, as a multiple of its bytes.
+PARSED_HEAD_FACTOR = 4
+# The library keeps a head until the next request on its connection, which is closed after a longer one.
+MAX_KEPT_HEAD_BYTES = 4096
+# Upper limit for reading a response of at most 64 KB.
+MAX_RESPONSE_S = 10.0
 # Time to read the response that rejects a request, for a client that is still sending.
 LINGER_S = 0.25
 # Poll events of a socket that the client has closed, half-closed or reset.
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+CALLBACK_START = b"POST %s " % callbacks.PATH.encode()
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One incoming connection.
 
     Bytes are buffered here until a request is complete, and only a complete request is passed to aiohttp. A
@@ -49,6 +57,7 @@
         "unread_since_s",
         "is_idle",
         "is_busy",
+        "is_kept_open",
         "excess_bytes",
         "has_sent_request",
         "is_endpoint",
@@ -65,6 +74,7 @@
         self.handler: RequestHandler | None = None
         self.buffer = RequestBuffer()
         self.is_busy = self.is_idle = False
+        self.is_kept_open = True  # whether another request may follow the current one
         self.excess_bytes = 0  # bytes received behind the current request
         self.has_sent_request = False  # a request or a callback
         self.is_endpoint = False  # it has sent a callback
@@ -84,6 +94,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self._stop_timer()
+        self.buffer = RequestBuffer()
         self.table.remove(self)
         if self.handler is not None:
             self.handler.connection_lost(exc)
@@ -96,7 +107,13 @@
         if self.handler is not None:
             self.handler.resume_writing()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.table.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._data_received(self.table.read_buffer[:nbytes])
+
+    def _data_received(self, data: memoryview) -> None:
         if self.transport.is_closing():
             return
         if self.is_busy:
@@ -125,9 +142,9 @@
         if self.buffer.has_undecoded():
             # Read on only when what has arrived is decoded, in a later turn of the event loop.
             self.transport.pause_reading()
-            self.table.decoding_queue.add(self._decode)
+            self.table.decoding_queue.add(self)
 
-    def _decode(self) -> None:
+    def decode_some(self) -> None:
         """Decode some more of a request whose body is in many chunks."""
         if self.transport.is_closing() or not self.buffer.has_undecoded():
             return  # the request was rejected meanwhile
@@ -136,11 +153,18 @@
 
     def _hand_to_parser(self) -> None:
         raw, excess = self.buffer.take_request()
+        head_bytes = self.buffer.head_bytes()
+        size = len(raw) + PARSED_HEAD_FACTOR * head_bytes
+        self.is_kept_open = head_bytes <= MAX_KEPT_HEAD_BYTES
+        if not self.table.mark_busy(self, size, raw.startswith(CALLBACK_START)):
+            self.reject(503, "too many bytes of requests in memory")
+            return
         self.buffer = RequestBuffer()
         self.is_busy = True
         self._stop_timer()
-        self.table.mark_busy(self)
         if self.handler is None:
+            # A response counts as written when all of it is with the operating system.
+            self.transport.set_write_buffer_limits(high=0)
             self.handler = self.table()
             self.handler.connection_made(self.transport)
         self.handler.data_received(raw)
@@ -187,9 +211,16 @@
         age_ms = last_data_age_ms(self.transport.get_extra_info("socket"))
         return min(age_ms, (self.table.loop.time() - since_s) * 1000.0)
 
+    def start_response(self, size: int) -> None:
+        """Prepare for writing a response of this size, which the client has to read within a limit."""
+        self.table.mark_responding(self, size)
+        self._stop_timer()
+        self.timer = self.table.loop.call_later(MAX_RESPONSE_S, self.transport.abort)
+
     def finish_request(self) -> None:
         """Wait for the next request, or reject bytes that followed the one that now has its response."""
         self.is_busy = False
+        self._stop_timer()
         if self.transport.is_closing():
             return
         if self.excess_bytes:
@@ -197,18 +228,23 @@
         else:
             self.table.mark_idle(self)
             # aiohttp's keep-alive timer is not used: it does not see partial requests and would cut them off.
-            self._stop_timer()
             self.timer, self.is_idle = (
                 self.table.loop.call_later(KEEP_ALIVE_TIMEOUT_S, self._deadline_passed),
                 True,
             )
 
+    def abort(self) -> None:
+        """Close the connection at once, and free what was received, which the transport does a turn later."""
+        self.buffer = RequestBuffer()
+        self.transport.abort()
+
     def reject(self, status: int, reason: str) -> None:
         """Respond with an error status, then close the connection and ignore further bytes."""
         self.table.count_rejection(status, reason)
         text = f"HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
         self.transport.write(text.encode())
         self.buffer = RequestBuffer()
+        self.table.mark_rejected(self)
         self._stop_timer()
         # A lingering close. Closing at once, while the client still sends, would reset the connection before
         # the client reads the response: half-close, stop reading, and close a little later.
--- a/dunepulley/net/frontend/connection_table.py
+++ b/dunepulley/net/frontend/connection_table.py
@@ -19,10 +19,24 @@
 MIN_IDLE_S = 1.0
 # A slow client pauses while it sends a request, but not for this long.
 MIN_PARTIAL_PAUSE_S = 0.5
+# A client that reads its response needs less than this.
+MIN_UNREAD_S = 0.5
+# The size of the buffer that all connections read into, one after the other.
+READ_BUFFER_BYTES = 65536
+# The limits that hold until the service has set its own.
+_DEFAULT_PARTIAL_BYTES, _DEFAULT_REQUEST_BYTES = 12 * 1024 * 1024, 24 * 1024 * 1024
+# Requests and callbacks of up to this many bytes may use all of the memory for requests, larger requests only
+# a fraction: clients that send large ones leave room for all others.
+SMALL_REQUEST_BYTES = 8192
+LARGE_REQUESTS_FRACTION = 0.75
 
 
 class ConnectionTable(web.Server):
-    """Tracks incoming connections, limits their number, and limits the bytes of partial requests."""
+    """Tracks incoming connections, and limits their number and the memory that their requests take.
+
+    The bytes of a connection (`Connection.counted_bytes`) are those of the request in progress, and those of
+    its response until the client has read it.
+    """
 
     def __init__(
         self, handler: Any, limit: int, counters: Counters, request_factory: Any, **handler_options: Any
@@ -32,8 +46,13 @@
         self._handler_options = handler_options
         self.loop = asyncio.get_running_loop()
         self.limit = self.full_limit = limit
-        # The bytes of partial requests in memory, and their limit.
-        self.partial_bytes, self.max_partial_bytes = 0, 12 * 1024 * 1024
+        # The bytes of partial requests in memory, those of complete ones with their responses, the limit for
+        # partial ones, and the limit for both together.
+        self.partial_bytes = self.complete_bytes = 0
+        self.max_partial_bytes = _DEFAULT_PARTIAL_BYTES
+        self.max_request_bytes = _DEFAULT_REQUEST_BYTES
+        # Each connection copies what it has read before the next one reads.
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.counters = counters
         self.decoding_queue = DecodingQueue(self.loop)
         # Called when a connection was added, to free a descriptor elsewhere if few are left.
@@ -41,10 +60,13 @@
         self.accepted: set[Connection] = set()
         # Connections with no request in progress, and the time of their last change, the oldest first: `new`
         # have sent neither a request nor a callback yet, `partial` have sent part of a request, and `idle`
-        # wait for the next request.
+        # wait for the next request. Those in `unread` have a response that their client has not read yet, and
+        # those in `rejected` are closed soon, once their client has read why.
         self.new: dict[Connection, float] = {}
         self.partial: dict[Connection, float] = {}
         self.idle: dict[Connection, float] = {}
+        self.unread: dict[Connection, float] = {}
+        self.rejected: dict[Connection, float] = {}
 
     def __call__(self) -> HttpHandler:
         """Return the library's handler for a connection; called when its first request is complete."""
@@ -70,31 +92,81 @@
 
     def mark_idle(self, connection: Connection) -> None:
         """Record that a connection has no request in progress."""
+        self._clear(connection)
         (self.idle if connection.has_sent_request else self.new)[connection] = self.loop.time()
 
     def mark_partial(self, connection: Connection) -> None:
         """Record that a connection has received part of a request."""
-        self.mark_busy(connection)
+        self._clear(connection)
         self.partial[connection] = self.loop.time()
         connection.counted_bytes = connection.buffer.size()
         self.partial_bytes += connection.counted_bytes
         while self.partial_bytes > self.max_partial_bytes:
             self._close_first(self.partial)
+        self._free_memory(0)
+
+    def mark_busy(self, connection: Connection, size: int, is_callback: bool) -> bool:
+        """Record that a connection has received a complete request of this size.
 
-    def mark_busy(self, connection: Connection) -> None:
-        """Record that a connection has received a complete request."""
-        self.partial_bytes -= connection.counted_bytes
+        Returns whether there is memory for it, for which others may be closed.
+        """
+        self._clear(connection)
+        limit = self.max_request_bytes
+        if size > SMALL_REQUEST_BYTES and not is_callback:
+            limit *= LARGE_REQUESTS_FRACTION
+        self._free_memory(size)
+        if self.complete_bytes + size > limit:
+            return False
+        connection.counted_bytes = size
+        self.complete_bytes += size
+        return True
+
+    def mark_rejected(self, connection: Connection) -> None:
+        """Record that a connection was sent an error and will be closed."""
+        self._clear(connection)
+        if connection in self.accepted:
+            self.rejected[connection] = self.loop.time()
+
+    def mark_responding(self, connection: Connection, size: int) -> None:
+        """Record that a response of this size is written to a connection; its client may be slow to read."""
+        if connection not in self.accepted:
+            return
+        self._free_memory(size)
+        connection.counted_bytes += size
+        self.complete_bytes += size
+        self.unread[connection] = self.loop.time()
+
+    def _free_memory(self, size: int) -> None:
+        """Make room for a number of bytes: partial requests go first, then responses that are not read."""
+        while self.partial and self._excess_bytes(size) > 0:
+            self._close_first(self.partial)
+        latest_s = self.loop.time() - MIN_UNREAD_S
+        while self.unread and next(iter(self.unread.values())) <= latest_s and self._excess_bytes(size) > 0:
+            self.counters["unread responses dropped"] += 1
+            self._close_first(self.unread)
+
+    def _excess_bytes(self, size: int = 0) -> int:
+        """Return by how much the memory in use, with `size` bytes more, exceeds the limit; or less than 0."""
+        return self.partial_bytes + self.complete_bytes + size - self.max_request_bytes
+
+    def _clear(self, connection: Connection) -> None:
+        """Forget the state of a connection and the bytes that it holds."""
+        if connection in self.partial:
+            self.partial_bytes -= connection.counted_bytes
+        else:
+            self.complete_bytes -= connection.counted_bytes
         connection.counted_bytes = 0
-        for connections in (self.new, self.partial, self.idle):
+        for connections in (self.new, self.partial, self.idle, self.unread, self.rejected):
             connections.pop(connection, None)
 
     def remove(self, connection: Connection) -> None:
         """Remove a connection; nothing else removes one."""
         self.accepted.discard(connection)
-        self.mark_busy(connection)
+        self.decoding_queue.discard(connection)
+        self._clear(connection)
 
     def evict_connection(self) -> bool:
-        """Close the oldest new connection, else a partial one, else the one that was idle the longest.
+        """Close a rejected connection, else the oldest new one, a partial one, or the longest idle one.
 
         Returns whether a connection was closed. Clients send a request as soon as they are connected, and
         received bytes are read before the next connection is accepted: the oldest of many that have sent
@@ -103,6 +175,7 @@
         """
         now = self.loop.time()
         order = (
+            (self.rejected, 0.0),
             (self.new, 0.0),
             (self.partial, MIN_PARTIAL_PAUSE_S),
             (self.idle, MIN_IDLE_S),
@@ -119,7 +192,7 @@
         # Removed at once, although its descriptor is freed a little later: it must not be selected again.
         connection = next(iter(connections))
         self.remove(connection)
-        connection.transport.abort()
+        connection.abort()
 
     def has_unsent_responses(self) -> bool:
         """Return whether a complete or partial request has no response, or a response is still buffered."""
@@ -147,8 +220,12 @@
         for connection in [*self.new, *self.idle]:
             if close_all or not connection.is_endpoint:
                 connection.transport.close()
-        for connection in list(self.partial) if close_all else ():
+        if not close_all:
+            return
+        for connection in list(self.rejected):
+            connection.transport.close()
+        for connection in list(self.partial):
             if connection.buffer.received:
                 connection.reject(503, "ending")
-            else:  # it was rejected before
+            else:  # only empty lines have come
                 connection.transport.close()
--- a/dunepulley/net/frontend/decoding_queue.py
+++ b/dunepulley/net/frontend/decoding_queue.py
@@ -3,32 +3,51 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
-from collections.abc import Callable
+from typing import Protocol
+
+
+class Decoder(Protocol):
+    """A connection with received bytes that are not decoded yet."""
+
+    def decode_some(self) -> None:
+        """Decode some more; it may add itself to the queue again."""
 
 
 class DecodingQueue:
-    """Runs one waiting step in each turn of the event loop, in the order in which they were added.
+    """Lets one waiting connection decode some more in each turn of the event loop, one after the other.
 
     So what many clients send together holds up no other client for longer than one step.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
-        self._steps: deque[Callable[[], None]] = deque()
+        self._waiting: dict[Decoder, None] = {}
+        self._is_scheduled = False
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, decoder: Decoder) -> None:
+        """Add a connection behind all others that wait."""
+        self._waiting[decoder] = None
+        self._schedule()
+
+    def discard(self, decoder: Decoder) -> None:
+        """Remove a connection, which holds its received bytes, if it waits."""
+        self._waiting.pop(decoder, None)
 
-    def add(self, step: Callable[[], None]) -> None:
-        """Add a step, which may add another one when it runs."""
-        if not self._steps:
+    def _schedule(self) -> None:
+        if not self._is_scheduled and self._waiting:
+            self._is_scheduled = True
             self._loop.call_soon(self._run_next)
-        self._steps.append(step)
 
     def _run_next(self) -> None:
-        step = self._steps[0]
+        self._is_scheduled = False
+        if not self._waiting:
+            return
+        decoder = next(iter(self._waiting))
+        del self._waiting[decoder]
         try:
-            step()
+            decoder.decode_some()
         finally:
-            # Removed last, so that a step that adds another one does not schedule a second turn.
-            self._steps.popleft()
-            if self._steps:
-                self._loop.call_soon(self._run_next)
+            self._schedule()
--- a/dunepulley/net/frontend/framing.py
+++ b/dunepulley/net/frontend/framing.py
@@ -67,7 +67,7 @@
         self._head_length = self._length = 0
         self._chunks: ChunkedBody | None = None
 
-    def add(self, data: bytes) -> None:
+    def add(self, data: bytes | memoryview) -> None:
         """Append received bytes."""
         if self._chunks is not None:
             self._chunks.add(data)
@@ -96,6 +96,10 @@
         """Return the number of bytes in memory."""
         return len(self.received) + (self._chunks.size() if self._chunks is not None else 0)
 
+    def head_bytes(self) -> int:
+        """Return the length of the head; 0 until it is complete."""
+        return self._head_length
+
     def awaits_continue(self) -> bool:
         """Return whether exactly the head was received and the client waits for `100 Continue`."""
         head_length = self._head_length
--- a/dunepulley/net/frontend/server.py
+++ b/dunepulley/net/frontend/server.py
@@ -175,11 +175,16 @@
                 self.is_rejecting or self.drain_state not in (SERVING, SHUTTING_DOWN)
             ):
                 response.force_close()
+            if not connection.is_kept_open:
+                response.force_close()
+            connection.start_response(len(response.body or b""))
             with contextlib.suppress(ConnectionError):  # the client has gone
                 await response.prepare(request)
                 await response.write_eof()
                 if outcome:
                     self.counters[outcome] += 1
+            # The library keeps both until the next request on this connection.
+            request._read_bytes = response.body = None
         finally:
             connection.finish_request()
         return response
--- a/dunepulley/net/request_table.py
+++ b/dunepulley/net/request_table.py
@@ -80,8 +80,7 @@
         open_request = self._open.get(request.arrived.request_id)
         if open_request is None or open_request.request is not request or open_request.answered:
             return False
-        open_request.answered = True
-        self.changed.append(open_request)
+        self._finish(open_request)
         return True
 
     def answer(self, request_id: str, answer: Answer) -> bool:
@@ -89,11 +88,17 @@
         open_request = self._open.get(request_id)
         if open_request is None or open_request.answered:
             return False
-        open_request.answered = True
         open_request.request.settle(answer)
-        self.changed.append(open_request)
+        self._finish(open_request)
         return True
 
+    def _finish(self, open_request: OpenRequest) -> None:
+        """Record that a request needs no answer any more, and with it no further attempt."""
+        open_request.answered = True
+        # Attempts that are still to be cancelled may keep the request open for seconds.
+        open_request.request.body = b""
+        self.changed.append(open_request)
+
     def end_attempt(self, attempt: UpstreamAttempt, result: str, body: bytes = b"") -> bool:
         """End an attempt, and answer its request if it completed; return False if it had ended before.
 
@@ -108,9 +113,10 @@
         open_request = self._open[attempt.request.arrived.request_id]
         open_request.attempts_in_flight -= 1
         if result == AttemptResult.COMPLETED and not open_request.answered:
-            open_request.answered = True
             open_request.request.settle(Answer(AttemptEnded, body))
-        self.changed.append(open_request)
+            self._finish(open_request)
+        else:
+            self.changed.append(open_request)
         return True
 
     def remove_finished(self) -> None:
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -33,6 +33,8 @@
 
 # Memory for the received parts of incomplete requests, for each MB of the memory limit: one sixteenth.
 INCOMPLETE_REQUEST_BYTES_PER_MB = 65536
+# Memory for all requests in progress and their responses, for each MB of the memory limit: one eighth.
+REQUEST_BYTES_PER_MB = 131072
 # Connections to the admin interface may use one in this many descriptors, but always a minimum number.
 DESCRIPTORS_PER_ADMIN_CONNECTION = 16
 MIN_ADMIN_CONNECTIONS = 4
@@ -73,6 +75,7 @@
         self.upstream.share_descriptors_with(lambda: len(self.frontend.server.accepted))
         self.frontend.server.on_accepted = self.upstream.close_excess_idle
         self.frontend.server.max_partial_bytes = int(config.memory_mb * INCOMPLETE_REQUEST_BYTES_PER_MB)
+        self.frontend.server.max_request_bytes = int(config.memory_mb * REQUEST_BYTES_PER_MB)
         self.admin_commands = AdminCommands(config, self.core, self.frontend, self.counters)
         self.admin = self._create_admin_server(max_descriptors)
         self.watch = DiscoveryWatch(config, self.core, self.counters, self._task_ended)
--- a/dunepulley/net/upstream/request_body.py
+++ b/dunepulley/net/upstream/request_body.py
@@ -26,7 +26,8 @@
     def __init__(
         self, attempt: UpstreamAttempt, counters: Counters, may_begin: Callable[[UpstreamAttempt], bool]
     ) -> None:
-        super().__init__(attempt.request.body)
+        self.data = attempt.request.body
+        super().__init__(self.data)
         self.attempt = attempt
         self.counters = counters
         self.may_begin = may_begin
@@ -63,7 +64,7 @@
             # Makes drain() wait until the last byte is written, not only until the buffer has space.
             transport.set_write_buffer_limits(high=0)
         self.attempt.write_started = True
-        await writer.write(self.attempt.request.body, drain=False)
+        await writer.write(self.data, drain=False)
         if transport.get_write_buffer_size():
             # Returns once the last byte is written, even if the endpoint has closed its side; else it raises.
             await writer.drain()
--- a/tests/net/test_many_chunks.py
+++ b/tests/net/test_many_chunks.py
@@ -87,32 +87,46 @@
     assert raised.value.args[0] == 413 and len(body.body) == 30_000
 
 
+class CountingDecoder:
+    """Decodes `times` times; notes its name in `run` each time."""
+
+    def __init__(self, queue, run, name, times):
+        self.queue, self.run, self.name, self.times = queue, run, name, times
+
+    def decode_some(self):
+        self.run.append(self.name)
+        self.times -= 1
+        if self.times:
+            self.queue.add(self)
+
+
 @on_loop
-async def test_a_waiting_step_runs_in_each_turn_in_the_order_of_arrival():
+async def test_one_decoder_runs_in_each_turn_in_the_order_of_arrival():
     queue = DecodingQueue(asyncio.get_running_loop())
     run = []
-
-    def step(name, times):
-        run.append(name)
-        if times > 1:
-            queue.add(lambda: step(name, times - 1))
-
-    queue.add(lambda: step("a", 3))
-    queue.add(lambda: step("b", 2))
+    queue.add(CountingDecoder(queue, run, "a", 3))
+    queue.add(CountingDecoder(queue, run, "b", 2))
+    left = CountingDecoder(queue, run, "left", 9)
+    queue.add(left)
+    queue.discard(left)
     for turn in range(1, 7):
         await asyncio.sleep(0)
         assert len(run) == min(turn, 5)
-    assert run == ["a", "b", "a", "b", "a"]
+    assert run == ["a", "b", "a", "b", "a"] and len(queue) == 0
 
 
 @on_loop
-async def test_a_step_that_fails_does_not_stop_the_others():
+async def test_a_decoder_that_fails_does_not_stop_the_others():
+    class FailingDecoder:
+        def decode_some(self):
+            raise RuntimeError("fault")
+
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda loop, context: None)
     queue = DecodingQueue(loop)
     run = []
-    queue.add(lambda: 1 / 0)
-    queue.add(lambda: run.append("next"))
+    queue.add(FailingDecoder())
+    queue.add(CountingDecoder(queue, run, "next", 1))
     await until(lambda: run)
 
 
@@ -127,7 +141,7 @@
         await until(lambda: len(rig.frontend.server.partial) == len(slow))
         loop = asyncio.get_running_loop()
         longest_s = 0.0
-        while rig.frontend.server.decoding_queue._steps:
+        while len(rig.frontend.server.decoding_queue):
             before_s = loop.time()
             await asyncio.sleep(0)
             longest_s = max(longest_s, loop.time() - before_s)
@@ -164,5 +178,5 @@
         await until(lambda: rig.frontend.server.partial)
         writer.transport.abort()
         await until(lambda: not rig.frontend.server.accepted and not rig.core.requests)
-        await until(lambda: not rig.frontend.server.decoding_queue._steps)
+        await until(lambda: not len(rig.frontend.server.decoding_queue))
         assert rig.frontend.server.partial_bytes == 0 and not rig.core.counters["faults"]
--- a/tests/net/test_pinned_library.py
+++ b/tests/net/test_pinned_library.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pytest
 from aiohttp.http_writer import StreamWriter
+from aiohttp.web_request import BaseRequest
 from support.event_loop import on_loop, until
 from support.fake_server import ABORT, SILENT, FakeServer
 from support.http_messages import ACCEPTED
@@ -51,6 +52,7 @@
 
 @on_loop
 async def test_private_attributes_exist():
+    assert BaseRequest._read_bytes is None, "aiohttp's requests have no _read_bytes"
     async with aiohttp.ClientSession() as session:
         assert session._retry_connection is True, "aiohttp's session has no _retry_connection, or it is off"
         cleanup = getattr(session.connector, "_cleanup", None)
--- a/tests/support/dispatcher_process.py
+++ b/tests/support/dispatcher_process.py
@@ -36,6 +36,7 @@
         self.folder = folder
         self.scratch = folder / "tmp"
         self.scratch.mkdir()
+        self.limits = {"sockets": 256}
         self.environment = {name: value for name, value in os.environ.items() if name != "TMPDIR"}
         if scratch:
             self.environment["TMPDIR"] = str(self.scratch)
@@ -117,7 +118,7 @@
             "listen": f"127.0.0.1:{self.site.port}",
             "discovery": self.site.watch.address,
             "console": f"127.0.0.1:{self.console}",
-            "limits": {"sockets": 256},
+            "limits": self.site.limits,
             "known": members(*endpoints, revision=7),
             "settings": {"categories": [request_class], "policyLimits": {"mostHandOffs": 5}},
         }
