Bytes behind a request are always read, so that a client's close behind them is found

Callers saw: a client that sent a request with megabytes behind it and closed had the request sent on afterwards, and a running attempt was not cancelled.

Cause: reading stopped after 64 KB behind a request; the system learns of a close only behind all bytes before it, so that with full buffers neither the check once a second nor the gate before the first byte could see it. Ruled out: closes behind less than the buffers hold, which the gate finds (test_attempt_start).

Change: such bytes are read and counted; a client that sends over 1 MB of them is taken to have gone, its request is given up, and it gets 400. Below that the request has its response first, as test_frontend asks (550 KB).

--- a/dunepulley/net/frontend/connection.py
+++ b/dunepulley/net/frontend/connection.py
@@ -32,6 +32,8 @@
 MAX_KEPT_HEAD_BYTES = 4096
 # Upper limit for reading a response of at most 64 KB.
 MAX_RESPONSE_S = 10.0
+# Limit for the bytes that follow a request before its response.
+MAX_EXCESS_BYTES = 16 * MAX_BODY_BYTES
 # Time to read the response that rejects a request, for a client that is still sending.
 LINGER_S = 0.25
 # Poll events of a socket that the client has closed, half-closed or reset.
@@ -174,18 +176,20 @@
     def _discard(self, size: int) -> None:
         """Drop bytes received behind the current request: clients must not pipeline.
 
-        The current request still gets its response. The bytes are read so that a close behind them is
-        noticed. After more bytes than any request has, reading stops and the socket is polled for a close.
+        The current request still gets its response. The bytes are read, because a close behind them cannot
+        be noticed before. A client that sends more of them than several requests is taken to have gone.
         """
         self.excess_bytes += size
-        if self.excess_bytes > MAX_BODY_BYTES:
-            self.transport.pause_reading()
-            self._watch_unread()
+        if self.excess_bytes > MAX_EXCESS_BYTES:
+            self._give_up_request()
+            self.reject(400, "more came than one request")
 
-    def _watch_unread(self) -> None:
-        self.timer = None
-        if not self.client_closed():
-            self.timer = self.table.loop.call_later(MAX_PAUSE_S, self._watch_unread)
+    def _give_up_request(self) -> None:
+        """End the current request as if its client had gone, without closing the connection."""
+        handler, self.handler = self.handler, None
+        self.is_busy = False
+        handler.transport = None  # else the handler closes it
+        handler.connection_lost(None)
 
     def client_closed(self) -> bool:
         """Ask the operating system whether the client has closed; if so, close this side and return True.
@@ -219,6 +223,8 @@
 
     def finish_request(self) -> None:
         """Wait for the next request, or reject bytes that followed the one that now has its response."""
+        if not self.is_busy:
+            return  # the request was given up
         self.is_busy = False
         self._stop_timer()
         if self.transport.is_closing():
