The id of a request that may have run is not taken again after its client has left

Cause: an id was rejected only while its request was in progress, which ended with the cancellation of its attempt; a cancellation does not undo what has run. In a hot restart the ids of a process counted only while it lived.

What has certainly not run may come again. Ids are announced only while another process is linked.

--- a/dunepulley/net/frontend/request_parser.py
+++ b/dunepulley/net/frontend/request_parser.py
@@ -38,7 +38,7 @@
         clock: returns Unix time in ms.
         needs_key: by request class, whether it requires an idempotency key.
         affinity_by_path: whether the last segment of the path is the affinity key.
-        is_in_progress: whether a request id is in use by a request in progress.
+        is_taken: whether a request id was taken before and must not be taken now.
 
     Methods raise `MalformedError` with a status and a reason.
     """
@@ -48,12 +48,12 @@
         clock: Clock,
         needs_key: Mapping[str, bool],
         affinity_by_path: bool,
-        is_in_progress: Callable[[str], bool],
+        is_taken: Callable[[str], bool],
     ) -> None:
         self._clock = clock
         self._needs_key = needs_key
         self._affinity_by_path = affinity_by_path
-        self._is_in_progress = is_in_progress
+        self._is_taken = is_taken
 
     async def parse(self, request: web.BaseRequest, connection: Connection) -> PendingRequest:
         """Parse a request and read its body."""
@@ -79,7 +79,7 @@
             memory=parse_hint_number(hints.get("memory", "0")),
         )
         body = await read_body(request)
-        if self._is_in_progress(request_id):
+        if self._is_taken(request_id):
             raise MalformedError(409, "this id is in hand")
         return PendingRequest(arrived, received_ms, target, forwarded, body, connection.client_closed)
 
--- a/dunepulley/net/frontend/server.py
+++ b/dunepulley/net/frontend/server.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from dunepulley.net import callbacks, log
+from dunepulley.net.abandoned_requests import AbandonedRequests
 from dunepulley.net.callbacks import MalformedError
 from dunepulley.net.core import Core
 from dunepulley.net.counters import Counters
@@ -79,7 +80,10 @@
         # During a hot restart: the ids that the other process has taken, and what to call with each id taken.
         self.foreign_requests: Container[str] = frozenset()
         self.announce_request: Callable[[str], None] | None = None
-        self.parser = RequestParser(core.clock, self.requires_key, affinity_by_path, self.is_in_progress)
+        self.announce_abandoned: Callable[[str], None] | None = None
+        self.abandoned_requests = AbandonedRequests()
+        core.requests.on_abandoned = self._abandon
+        self.parser = RequestParser(core.clock, self.requires_key, affinity_by_path, self.is_taken)
         self.recorder: Recorder | None = None
         self.none_waiting = asyncio.Event()
         self.drain_state, self.is_rejecting = SERVING, False
@@ -233,9 +237,22 @@
         """Return whether a request is in progress in this process."""
         return request_id in self.waiting or request_id in self.core.requests
 
-    def is_in_progress(self, request_id: str) -> bool:
-        """Return whether a request is in progress here, or was taken by a process that serves beside it."""
-        return self.has_request(request_id) or request_id in self.foreign_requests
+    def is_taken(self, request_id: str) -> bool:
+        """Return whether an id is taken, here or in a process that serves beside this one.
+
+        Its request is in progress, or may have run although its client has gone.
+        """
+        return (
+            self.has_request(request_id)
+            or request_id in self.foreign_requests
+            or request_id in self.abandoned_requests
+        )
+
+    def _abandon(self, request_id: str) -> None:
+        """Record that a request may have run whose client has gone."""
+        self.abandoned_requests.add([request_id])
+        if self.announce_abandoned is not None:
+            self.announce_abandoned(request_id)
 
     def request_ids(self) -> list[str]:
         """Return the ids of the requests that are in progress in this process."""
--- a/dunepulley/net/handover.py
+++ b/dunepulley/net/handover.py
@@ -123,6 +123,14 @@
         """Return the ids of the requests that are in progress in this process."""
         return self.frontend.request_ids()
 
+    def abandoned_ids(self) -> list[str]:
+        """Return the ids of requests that may have run and whose client has gone."""
+        return self.frontend.abandoned_requests.all_ids()
+
+    def add_abandoned(self, ids: list[str]) -> None:
+        """Reject requests with these ids from now on."""
+        self.frontend.abandoned_requests.add(ids)
+
     async def _finish(self) -> None:
         await self.frontend.none_waiting.wait()
         while self.core.requests or self.frontend.server.has_unsent_responses():
--- a/dunepulley/net/hot_restart/coordinator.py
+++ b/dunepulley/net/hot_restart/coordinator.py
@@ -21,6 +21,7 @@
     Hello,
     Ready,
     Refused,
+    RequestsAbandoned,
     RequestsTaken,
 )
 from dunepulley.net.hot_restart.paths import is_same_user
@@ -56,6 +57,12 @@
     def request_ids(self) -> list[str]:
         """Return the ids of the requests that are in progress in this process."""
 
+    def abandoned_ids(self) -> list[str]:
+        """Return the ids of requests that may have run and whose client has gone."""
+
+    def add_abandoned(self, ids: list[str]) -> None:
+        """Reject requests with these ids from now on."""
+
 
 class HotRestart:
     """Owns the link to the parent, the socket for a child, and the link to that child."""
@@ -95,8 +102,8 @@
                 self._parent_released.set()
             elif isinstance(message, CallbackForwarded):
                 self._run(self._answer_callback(link, message, self.child))
-            elif isinstance(message, RequestsTaken):
-                self._add_foreign_requests(link, message, self.child)
+            elif isinstance(message, RequestsTaken | RequestsAbandoned):
+                self._add_request_ids(link, message, self.child)
         # The parent has ended, normally or not: this process alone owns the listening socket now.
         self.parent = None
         link.close()
@@ -166,14 +173,13 @@
                 self._handed_over = True
                 self.listener.stop()
                 # Before the child accepts its first connection.
-                for taken in messages_with(self.dispatcher.request_ids() + self.foreign_requests.all_ids()):
-                    link.send(taken)
+                self._send_all_ids(link)
                 link.send(HandedOver(await self.dispatcher.hand_over()))
                 log.write(LogEvent.HOT_RESTART, "the child process serves; finishing the open requests")
             elif isinstance(message, CallbackForwarded):
                 self._run(self._answer_callback(link, message, self.parent))
-            elif isinstance(message, RequestsTaken):
-                self._add_foreign_requests(link, message, self.parent)
+            elif isinstance(message, RequestsTaken | RequestsAbandoned):
+                self._add_request_ids(link, message, self.parent)
 
     def _child_ended(self) -> None:
         handed_over, self._handed_over = self._handed_over, False
@@ -187,17 +193,40 @@
 
     def announce_request(self, request_id: str) -> None:
         """Send the id of a request that this process takes to the processes that serve beside it."""
-        self._send_taken(RequestsTaken([request_id]), self.parent)
-        if self._handed_over:
-            self._send_taken(RequestsTaken([request_id]), self.child)
+        if self.parent is not None or self.child is not None:
+            self._announce(RequestsTaken([request_id]))
 
-    def _add_foreign_requests(self, link: Link, message: RequestsTaken, other_link: Link | None) -> None:
+    def announce_abandoned(self, request_id: str) -> None:
+        """Send the id of a request that may have run and whose client has gone, in the same way."""
+        if self.parent is not None or self.child is not None:
+            self._announce(RequestsAbandoned([request_id]))
+
+    def _announce(self, message: RequestsTaken | RequestsAbandoned) -> None:
+        self._send_ids(message, self.parent)
+        if self._handed_over:
+            self._send_ids(message, self.child)
+
+    def _send_all_ids(self, link: Link) -> None:
+        """Send a child the ids that it must reject."""
+        for taken in messages_with(
+            self.dispatcher.request_ids() + self.foreign_requests.all_ids(), RequestsTaken
+        ):
+            link.send(taken)
+        for abandoned in messages_with(self.dispatcher.abandoned_ids(), RequestsAbandoned):
+            link.send(abandoned)
+
+    def _add_request_ids(
+        self, link: Link, message: RequestsTaken | RequestsAbandoned, other_link: Link | None
+    ) -> None:
         """Record the ids from `link`, and pass them on to the process at `other_link`."""
-        self.foreign_requests.add(link, message.ids)
+        if isinstance(message, RequestsTaken):
+            self.foreign_requests.add(link, message.ids)
+        else:
+            self.dispatcher.add_abandoned(message.ids)
         if other_link is not self.child or self._handed_over:
-            self._send_taken(message, other_link)
+            self._send_ids(message, other_link)
 
-    def _send_taken(self, message: RequestsTaken, link: Link | None) -> None:
+    def _send_ids(self, message: RequestsTaken | RequestsAbandoned, link: Link | None) -> None:
         if link is not None and not link.closed:
             link.send(message)
 
--- a/dunepulley/net/hot_restart/foreign_requests.py
+++ b/dunepulley/net/hot_restart/foreign_requests.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from typing import TypeVar
 
 from dunepulley.net.hot_restart.link import Link
-from dunepulley.net.hot_restart.messages import RequestsTaken
+from dunepulley.net.hot_restart.messages import RequestsAbandoned, RequestsTaken
 
 # A message of this many ids, of 128 characters at most, stays far below the limit of a line.
 MAX_IDS_PER_MESSAGE = 1000
@@ -38,7 +39,10 @@
         return [request_id for ids in self._ids_by_link.values() for request_id in ids]
 
 
-def messages_with(ids: list[str]) -> Iterator[RequestsTaken]:
-    """Yield the messages that carry these ids."""
+IdMessage = TypeVar("IdMessage", RequestsTaken, RequestsAbandoned)
+
+
+def messages_with(ids: list[str], kind: type[IdMessage]) -> Iterator[IdMessage]:
+    """Yield the messages of a kind that carry these ids."""
     for start in range(0, len(ids), MAX_IDS_PER_MESSAGE):
-        yield RequestsTaken(ids[start : start + MAX_IDS_PER_MESSAGE])
+        yield kind(ids[start : start + MAX_IDS_PER_MESSAGE])
--- a/dunepulley/net/hot_restart/messages.py
+++ b/dunepulley/net/hot_restart/messages.py
@@ -85,12 +85,23 @@
         return {"taken": self.ids}
 
 
+class RequestsAbandoned(NamedTuple):
+    """Ids of requests that may have run and whose client has gone: they must be rejected from now on."""
+
+    ids: list[str]
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the message in its JSON form."""
+        return {"abandoned": self.ids}
+
+
 class Unknown(NamedTuple):
     """A message of another version of the protocol."""
 
 
-Sent = Hello | Refused | Ready | HandedOver | CallbackForwarded | CallbackAnswered | RequestsTaken
-Received = Hello | Ready | HandedOver | CallbackForwarded | CallbackAnswered | RequestsTaken | Unknown
+AboutRequests = CallbackForwarded | CallbackAnswered | RequestsTaken | RequestsAbandoned
+Sent = Hello | Refused | Ready | HandedOver | AboutRequests
+Received = Hello | Ready | HandedOver | AboutRequests | Unknown
 
 
 def parse(message: dict[str, Any]) -> Received:
@@ -107,14 +118,18 @@
     return Unknown()
 
 
-def _parse_about_requests(
-    message: dict[str, Any],
-) -> CallbackForwarded | CallbackAnswered | RequestsTaken | None:
+def _parse_about_requests(message: dict[str, Any]) -> AboutRequests | None:
     """Return the message in a JSON object, if it is one about requests or their callbacks."""
     if "to" in message:
         return CallbackAnswered(message["to"], message.get("status"))
     if isinstance(message.get("callback"), str) and "number" in message:
         return CallbackForwarded(message["callback"], message["number"])
     if isinstance(message.get("taken"), list):
-        return RequestsTaken([request_id for request_id in message["taken"] if isinstance(request_id, str)])
+        return RequestsTaken(_texts(message["taken"]))
+    if isinstance(message.get("abandoned"), list):
+        return RequestsAbandoned(_texts(message["abandoned"]))
     return None
+
+
+def _texts(values: list[Any]) -> list[str]:
+    return [value for value in values if isinstance(value, str)]
--- a/dunepulley/net/request_table.py
+++ b/dunepulley/net/request_table.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from dunepulley.net.messages import Answer, CallbackState, PendingRequest, UpstreamAttempt
 from dunepulley.routing.events import NOT_EXECUTED, AttemptEnded, AttemptResult
@@ -23,21 +23,26 @@
     """A request that still needs an answer or has attempts in flight.
 
     `attempts` holds all attempts in the order of their numbers, `attempts_in_flight` counts those that have
-    not ended, and `answered` is set once the request was answered or its client has disconnected.
+    not ended, `answered` is set once the request was answered or its client has disconnected, and
+    `client_left` if the client disconnected first.
     """
 
-    __slots__ = ("request", "attempts", "attempts_in_flight", "answered")
+    __slots__ = ("request", "attempts", "attempts_in_flight", "answered", "client_left")
 
     def __init__(self, request: PendingRequest) -> None:
         self.request = request
         self.attempts: list[UpstreamAttempt] = []
         self.attempts_in_flight = 0
-        self.answered = False
+        self.answered = self.client_left = False
 
     def attempts_at(self, endpoint_id: str) -> list[UpstreamAttempt]:
         """Return all attempts at one endpoint, the latest last."""
         return [attempt for attempt in self.attempts if attempt.endpoint_id == endpoint_id]
 
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have run the request."""
+        return any([attempt.result not in NOT_EXECUTED for attempt in self.attempts])
+
     def is_in_flight_at(self, endpoint_id: str) -> bool:
         """Whether an attempt at this endpoint has not ended."""
         return any(attempt.endpoint_id == endpoint_id and not attempt.result for attempt in self.attempts)
@@ -52,6 +57,8 @@
 
     def __init__(self) -> None:
         self._open: dict[str, OpenRequest] = {}
+        # Called with the id of each request that may have run and whose client has not got its answer.
+        self.on_abandoned: Callable[[str], None] = lambda request_id: None
         # Requests that were answered or had an attempt end since the last `remove_finished`.
         self.changed: list[OpenRequest] = []
 
@@ -80,6 +87,7 @@
         open_request = self._open.get(request.arrived.request_id)
         if open_request is None or open_request.request is not request or open_request.answered:
             return False
+        open_request.client_left = True
         self._finish(open_request)
         return True
 
@@ -129,8 +137,14 @@
                 and self._open.get(request_id) is open_request
             ):
                 del self._open[request_id]
+                self._report_abandoned(open_request)
         self.changed.clear()
 
+    def _report_abandoned(self, open_request: OpenRequest) -> None:
+        """Report a request that may have run if its client left, perhaps unnoticed before its answer."""
+        if open_request.may_have_run() and (open_request.client_left or open_request.request.client_closed()):
+            self.on_abandoned(open_request.request.arrived.request_id)
+
 
 def result_of_callback(state: str, earlier: list[UpstreamAttempt]) -> AttemptResult:
     """Return the result of the latest attempt at an endpoint, given the state in the endpoint's callback.
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -87,6 +87,7 @@
         self.frontend.callbacks.forward = self.hot_restart.forward_callback
         self.frontend.foreign_requests = self.hot_restart.foreign_requests
         self.frontend.announce_request = self.hot_restart.announce_request
+        self.frontend.announce_abandoned = self.hot_restart.announce_abandoned
 
     def _create_core(self) -> Core:
         """Create the `Core`, with the parent's clock if there is a parent."""
--- a/tests/net/test_hot_restart_request_ids.py
+++ b/tests/net/test_hot_restart_request_ids.py
@@ -68,19 +68,23 @@
             writer.close()
 
 
-def test_ids_are_split_into_messages_that_fit_into_a_line():
+@pytest.mark.parametrize("kind", [messages.RequestsTaken, messages.RequestsAbandoned])
+def test_ids_are_split_into_messages_that_fit_into_a_line(kind):
     ids = [f"{number:0128d}" for number in range(2 * foreign_requests.MAX_IDS_PER_MESSAGE + 1)]
-    split = list(foreign_requests.messages_with(ids))
+    split = list(foreign_requests.messages_with(ids, kind))
     assert [request_id for message in split for request_id in message.ids] == ids and len(split) == 3
     assert all(len(str(message.to_json())) < messages.MAX_MESSAGE_BYTES for message in split)
-    assert not list(foreign_requests.messages_with([]))
+    assert not list(foreign_requests.messages_with([], kind))
 
 
-def test_message_with_ids_is_unchanged_after_formatting_and_parsing():
-    taken = messages.RequestsTaken(["a", "b"])
-    assert messages.parse(taken.to_json()) == taken
-    assert messages.parse({"taken": ["a", 1, None]}) == messages.RequestsTaken(["a"])
-    assert messages.parse({"taken": "a"}) == messages.Unknown()
+@pytest.mark.parametrize(
+    ("kind", "key"), [(messages.RequestsTaken, "taken"), (messages.RequestsAbandoned, "abandoned")]
+)
+def test_message_with_ids_is_unchanged_after_formatting_and_parsing(kind, key):
+    message = kind(["a", "b"])
+    assert messages.parse(message.to_json()) == message
+    assert messages.parse({key: ["a", 1, None]}) == kind(["a"])
+    assert messages.parse({key: "a"}) == messages.Unknown()
 
 
 def test_ids_of_a_closed_link_are_removed():
