Requests are passed on eight in a turn of the loop, and none whose client has closed

Callers saw: while hundreds of clients sent small requests at full speed, kept connections with health checks or callbacks under ever new names, or requests that they left at once, others got answers after their time (2.9 s of 2 s) or none.

Cause: an ordinary request takes ten to twenty turns of the event loop, and in each turn all that 300 clients had sent was processed; requests whose clients had gone went all the way.

Change: TurnQueue, in place of DecodingQueue, spreads requests (eight a turn) and the decoding of chunks (one step); the system is asked whether a request's client has closed when its turn comes.

--- a/dunepulley/net/frontend/connection.py
+++ b/dunepulley/net/frontend/connection.py
@@ -38,6 +38,7 @@
 LINGER_S = 0.25
 # Poll events of a socket that the client has closed, half-closed or reset.
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+REQUEST_START = b"POST "
 CALLBACK_START = b"POST %s " % callbacks.PATH.encode()
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -60,6 +61,8 @@
         "is_idle",
         "is_busy",
         "is_kept_open",
+        "complete_request",
+        "completed_s",
         "excess_bytes",
         "has_sent_request",
         "is_endpoint",
@@ -77,6 +80,8 @@
         self.buffer = RequestBuffer()
         self.is_busy = self.is_idle = False
         self.is_kept_open = True  # whether another request may follow the current one
+        self.complete_request = b""  # a request that waits for its turn
+        self.completed_s = 0.0  # when the current request was complete
         self.excess_bytes = 0  # bytes received behind the current request
         self.has_sent_request = False  # a request or a callback
         self.is_endpoint = False  # it has sent a callback
@@ -138,7 +143,7 @@
         if self.buffer.awaits_continue():
             self.transport.write(CONTINUE_RESPONSE)
         if is_complete:
-            self._hand_to_parser()
+            self._take_request()
             return
         self.table.mark_partial(self)
         if self.buffer.has_undecoded():
@@ -153,25 +158,38 @@
         self.transport.resume_reading()
         self._read_request(0)
 
-    def _hand_to_parser(self) -> None:
+    def _take_request(self) -> None:
+        """Take the complete request from the buffer; it is processed when its turn comes."""
         raw, excess = self.buffer.take_request()
         head_bytes = self.buffer.head_bytes()
         size = len(raw) + PARSED_HEAD_FACTOR * head_bytes
-        self.is_kept_open = head_bytes <= MAX_KEPT_HEAD_BYTES
         if not self.table.mark_busy(self, size, raw.startswith(CALLBACK_START)):
             self.reject(503, "too many bytes of requests in memory")
             return
         self.buffer = RequestBuffer()
         self.is_busy = True
+        self.is_kept_open = head_bytes <= MAX_KEPT_HEAD_BYTES
+        self.complete_request = raw
+        self.completed_s = self.table.loop.time()
         self._stop_timer()
+        self.table.request_queue.run_or_add(self)
+        if excess:
+            self._discard(excess)
+
+    def process_request(self) -> None:
+        """Pass the complete request to the library, unless its client has gone."""
+        raw, self.complete_request = self.complete_request, b""
+        is_callback = raw.startswith(CALLBACK_START)
+        if raw.startswith(REQUEST_START) and not is_callback and self.client_closed():
+            # Nobody waits for the answer; the rest of the way costs twenty times what has been done so far.
+            self.table.counters["left before they were read"] += 1
+            return
         if self.handler is None:
             # A response counts as written when all of it is with the operating system.
             self.transport.set_write_buffer_limits(high=0)
             self.handler = self.table()
             self.handler.connection_made(self.transport)
         self.handler.data_received(raw)
-        if excess:
-            self._discard(excess)
 
     def _discard(self, size: int) -> None:
         """Drop bytes received behind the current request: clients must not pipeline.
@@ -188,8 +206,10 @@
         """End the current request as if its client had gone, without closing the connection."""
         handler, self.handler = self.handler, None
         self.is_busy = False
-        handler.transport = None  # else the handler closes it
-        handler.connection_lost(None)
+        self.table.request_queue.discard(self)
+        if handler is not None:
+            handler.transport = None  # else the handler closes it
+            handler.connection_lost(None)
 
     def client_closed(self) -> bool:
         """Ask the operating system whether the client has closed; if so, close this side and return True.
@@ -206,14 +226,19 @@
         self.transport.close()
         return True
 
-    def take_unread_ms(self) -> float:
-        """Return how long in ms this connection's first request may have waited unread; 0 at later calls."""
+    def take_wait_ms(self) -> float:
+        """Return how long in ms the current request has waited for its turn, or may have waited unread.
+
+        The latter applies to the first request of a connection that waited to be accepted.
+        """
+        now = self.table.loop.time()
+        wait_ms = (now - self.completed_s) * 1000.0
         since_s, self.unread_since_s = self.unread_since_s, 0.0
         if not since_s:
-            return 0.0
+            return wait_ms
         # The request may have arrived much later than the connection.
         age_ms = last_data_age_ms(self.transport.get_extra_info("socket"))
-        return min(age_ms, (self.table.loop.time() - since_s) * 1000.0)
+        return max(wait_ms, min(age_ms, (now - since_s) * 1000.0))
 
     def start_response(self, size: int) -> None:
         """Prepare for writing a response of this size, which the client has to read within a limit."""
--- a/dunepulley/net/frontend/connection_table.py
+++ b/dunepulley/net/frontend/connection_table.py
@@ -11,8 +11,8 @@
 from dunepulley.net import log
 from dunepulley.net.counters import Counters
 from dunepulley.net.frontend.connection import Connection
-from dunepulley.net.frontend.decoding_queue import DecodingQueue
 from dunepulley.net.frontend.http_handler import HttpHandler
+from dunepulley.net.frontend.turn_queue import TurnQueue
 from dunepulley.net.log_events import LogEvent
 
 # Only connections that were idle for longer are evicted: a request may be in transit on the others.
@@ -21,11 +21,14 @@
 MIN_PARTIAL_PAUSE_S = 0.5
 # A client that reads its response needs less than this.
 MIN_UNREAD_S = 0.5
+# Complete requests that are passed on in one turn of the event loop. Each takes some ten turns until it is
+# answered, and in each turn others have to wait for all of them.
+REQUESTS_PER_TURN = 8
 # The size of the buffer that all connections read into, one after the other.
 READ_BUFFER_BYTES = 65536
 # The limits that hold until the service has set its own.
 _DEFAULT_PARTIAL_BYTES, _DEFAULT_REQUEST_BYTES = 12 * 1024 * 1024, 24 * 1024 * 1024
-# Requests and callbacks of up to this many bytes may use all of the memory for requests, larger requests only
+# Requests of up to this many bytes, and callbacks, may use all of the memory for requests, larger requests only
 # a fraction: clients that send large ones leave room for all others.
 SMALL_REQUEST_BYTES = 8192
 LARGE_REQUESTS_FRACTION = 0.75
@@ -54,7 +57,8 @@
         # Each connection copies what it has read before the next one reads.
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.counters = counters
-        self.decoding_queue = DecodingQueue(self.loop)
+        self.decoding_queue = TurnQueue(self.loop, Connection.decode_some)
+        self.request_queue = TurnQueue(self.loop, Connection.process_request, REQUESTS_PER_TURN)
         # Called when a connection was added, to free a descriptor elsewhere if few are left.
         self.on_accepted: Callable[[], None] = lambda: None
         self.accepted: set[Connection] = set()
@@ -163,6 +167,7 @@
         """Remove a connection; nothing else removes one."""
         self.accepted.discard(connection)
         self.decoding_queue.discard(connection)
+        self.request_queue.discard(connection)
         self._clear(connection)
 
     def evict_connection(self) -> bool:
--- a/dunepulley/net/frontend/request_parser.py
+++ b/dunepulley/net/frontend/request_parser.py
@@ -59,7 +59,7 @@
         """Parse a request and read its body."""
         target, headers = request.raw_path, request.headers
         path = target.partition("?")[0]
-        received_ms = self._clock() - connection.take_unread_ms()
+        received_ms = self._clock() - connection.take_wait_ms()
         request_class = self._request_class(target, path)
         request_id = _require_match(_REQUEST_ID, headers.get("X-Call-Id", ""), "X-Call-Id is missing or odd")
         timeout = _require_match(
--- a/tests/net/test_many_chunks.py
+++ b/tests/net/test_many_chunks.py
@@ -12,7 +12,6 @@
 from dunepulley.net.callbacks import MalformedError
 from dunepulley.net.frontend import chunked_body
 from dunepulley.net.frontend.chunked_body import MAX_CHUNKS_PER_STEP, ChunkedBody
-from dunepulley.net.frontend.decoding_queue import DecodingQueue
 
 HEAD = b"POST /look/1 HTTP/1.1\r\nHost: a\r\nX-Call-Id: %s\r\nX-Budget-Ms: 9000\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -87,49 +86,6 @@
     assert raised.value.args[0] == 413 and len(body.body) == 30_000
 
 
-class CountingDecoder:
-    """Decodes `times` times; notes its name in `run` each time."""
-
-    def __init__(self, queue, run, name, times):
-        self.queue, self.run, self.name, self.times = queue, run, name, times
-
-    def decode_some(self):
-        self.run.append(self.name)
-        self.times -= 1
-        if self.times:
-            self.queue.add(self)
-
-
-@on_loop
-async def test_one_decoder_runs_in_each_turn_in_the_order_of_arrival():
-    queue = DecodingQueue(asyncio.get_running_loop())
-    run = []
-    queue.add(CountingDecoder(queue, run, "a", 3))
-    queue.add(CountingDecoder(queue, run, "b", 2))
-    left = CountingDecoder(queue, run, "left", 9)
-    queue.add(left)
-    queue.discard(left)
-    for turn in range(1, 7):
-        await asyncio.sleep(0)
-        assert len(run) == min(turn, 5)
-    assert run == ["a", "b", "a", "b", "a"] and len(queue) == 0
-
-
-@on_loop
-async def test_a_decoder_that_fails_does_not_stop_the_others():
-    class FailingDecoder:
-        def decode_some(self):
-            raise RuntimeError("fault")
-
-    loop = asyncio.get_running_loop()
-    loop.set_exception_handler(lambda loop, context: None)
-    queue = DecodingQueue(loop)
-    run = []
-    queue.add(FailingDecoder())
-    queue.add(CountingDecoder(queue, run, "next", 1))
-    await until(lambda: run)
-
-
 @on_loop
 async def test_other_clients_are_answered_while_many_send_bodies_in_tiny_chunks():
     # Guards against the decoding of many clients' chunks in one turn of the event loop: for seconds no other
