Idle connections to endpoints are counted only when there may be too many

An upper bound is kept now, and the count is taken only where the bound is over the limit. Also, a response to a request that was given up sets no timer (never seen; today's order of calls excludes it). What is closed, and when, is as before; tests of descriptors, the pool and the front end pass.

--- a/dunepulley/net/frontend/connection.py
+++ b/dunepulley/net/frontend/connection.py
@@ -242,6 +242,8 @@
 
     def start_response(self, size: int) -> None:
         """Prepare for writing a response of this size, which the client has to read within a limit."""
+        if not self.is_busy:
+            return  # the request was given up
         self.table.mark_responding(self, size)
         self._stop_timer()
         self.timer = self.table.loop.call_later(MAX_RESPONSE_S, self.transport.abort)
--- a/dunepulley/net/frontend/connection_table.py
+++ b/dunepulley/net/frontend/connection_table.py
@@ -28,8 +28,8 @@
 READ_BUFFER_BYTES = 65536
 # The limits that hold until the service has set its own.
 _DEFAULT_PARTIAL_BYTES, _DEFAULT_REQUEST_BYTES = 12 * 1024 * 1024, 24 * 1024 * 1024
-# Requests of up to this many bytes, and callbacks, may use all of the memory for requests, larger requests only
-# a fraction: clients that send large ones leave room for all others.
+# Requests of up to this many bytes, and callbacks, may use all of the memory for requests. Larger requests
+# may use a fraction of it: clients that send large ones leave room for all others.
 SMALL_REQUEST_BYTES = 8192
 LARGE_REQUESTS_FRACTION = 0.75
 
--- a/dunepulley/net/upstream/connection_pool.py
+++ b/dunepulley/net/upstream/connection_pool.py
@@ -75,6 +75,8 @@
         super().__init__(limit=limit, limit_per_host=limit_per_host, keepalive_timeout=keepalive_s)
         self._factory = partial(EndpointConnection, counters, loop=asyncio.get_running_loop())
         self.max_connections = max_connections
+        # There are no more idle connections than this; counted anew when it matters.
+        self._max_idle_count = 0
         # The number of connections outside this pool that use the same descriptors.
         self.other_connections: Callable[[], int] = lambda: 0
 
@@ -98,14 +100,18 @@
     def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
         super()._release(key, protocol, should_close=should_close)
         protocol.is_idle = True
+        self._max_idle_count += 1
         self.close_excess_idle()
 
     def close_excess_idle(self, new_connections: int = 0) -> None:
         """Close the longest idle connections, if there are too many, or would be with `new_connections`."""
-        idle_count = sum([len(idle) for idle in self._conns.values()])
-        total = len(self._acquired) + idle_count + self.other_connections() + new_connections
-        for _ in range(min(total - self.max_connections, idle_count)):
+        max_idle = self.max_connections - len(self._acquired) - self.other_connections() - new_connections
+        if self._max_idle_count <= max_idle:
+            return  # counting them for each connection from a client would take too long
+        self._max_idle_count = sum([len(idle) for idle in self._conns.values()])
+        while self._max_idle_count > max(0, max_idle):
             self._close_longest_idle()
+            self._max_idle_count -= 1
 
     def _close_longest_idle(self) -> None:
         key = min(self._conns, key=lambda key: self._conns[key][0][1])
