Tests and the load tool take ports that the kernel gives to no other socket

Runs beside other suites had shown 'address in use' and such time-outs before, not traced.

Cause: free_port and free_ports asked the kernel for a port and closed it again. Before the agent that it was meant for listened there, the kernel could give it to another socket. Here a link of the same test got the port of the agent that it forwards to: it then connected to itself, once more for each connection that it accepted, until no descriptor was left.

Ruled out: the product's handling of a full disk; the agents had not been told of it yet.

Change: load/ports.py hands out ports below the kernel's range. A process reserves a block of them by holding its first port, so that runs side by side have different ones. Tests, load tool and bench use it. Two more places that closed a port of the kernel's (test_service, test_admin) and closed_port of test_recorded_output use it, too.

--- a/bench/drain_fleet.py
+++ b/bench/drain_fleet.py
@@ -29,7 +29,8 @@
 from bench.stub_workers import LoadGenerator, StubEndpoints
 from dunepulley.agent import wire
 from dunepulley.agent.admin_call import NoAnswerError, call
-from dunepulley.load.local import discovery, free_ports
+from dunepulley.load.local import discovery
+from dunepulley.load.ports import free_ports
 from dunepulley.load.processes import Processes
 
 GRACE_MS = 300.0
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -32,7 +32,8 @@
 from bench.fleet import read_events
 from dunepulley.agent import wire
 from dunepulley.agent.admin_call import NoAnswerError, call
-from dunepulley.load.local import Catalog, free_ports, member, serve_catalog
+from dunepulley.load.local import Catalog, member, serve_catalog
+from dunepulley.load.ports import free_ports
 from dunepulley.load.processes import Processes
 
 MODES = ("common", "alone", "fixed")
--- a/dunepulley/load/local.py
+++ b/dunepulley/load/local.py
@@ -1,11 +1,10 @@
-"""Helpers for stub servers on loopback: free ports, HTTP servers, real time, callbacks and a discovery."""
+"""Helpers for stub servers on loopback: HTTP servers, real time, callbacks and a discovery."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import json
-import socket
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -13,15 +12,6 @@
 from aiohttp import web
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports on which no process listens now."""
-    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [listener.getsockname()[1] for listener in listeners]
-    for listener in listeners:
-        listener.close()
-    return ports
-
-
 class RealTime:
     """A timeline for server models on the event loop's clock, in ms."""
 
--- a/dunepulley/load/runner.py
+++ b/dunepulley/load/runner.py
@@ -19,7 +19,8 @@
 from dunepulley.load import check, faults
 from dunepulley.load.clients import ClientRequest, Clients, Dispatchers, open_session
 from dunepulley.load.configurations import ConfigurationWriter
-from dunepulley.load.local import Catalog, RealTime, free_ports, member, serve_catalog
+from dunepulley.load.local import Catalog, RealTime, member, serve_catalog
+from dunepulley.load.ports import free_ports
 from dunepulley.load.processes import Processes
 from dunepulley.load.record import Record
 from dunepulley.load.stub_servers import StubServers, load_report_fields
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -8,7 +8,7 @@
 import socket
 
 import pytest
-from support.dispatcher_process import DispatcherHost, DispatcherProcess, free_port
+from support.dispatcher_process import DispatcherHost, DispatcherProcess
 from support.dispatcher_rig import DispatcherRig
 from support.event_loop import on_loop, until
 from support.fake_discovery import member, members
@@ -20,6 +20,7 @@
 from dunepulley.agent.ctl import calls, rendering
 from dunepulley.clocks import Clock
 from dunepulley.control import drains
+from dunepulley.load.ports import free_port
 
 NOW = 1_000_000.0
 
--- a/tests/agent/test_failover.py
+++ b/tests/agent/test_failover.py
@@ -8,7 +8,7 @@
 
 import pytest
 from support.agent_fleet import AgentFleet
-from support.dispatcher_process import DispatcherHost, DispatcherProcess, free_port
+from support.dispatcher_process import DispatcherHost, DispatcherProcess
 from support.dispatcher_rig import DispatcherRig
 from support.event_loop import on_loop, until
 from support.fake_discovery import member, members
@@ -19,6 +19,7 @@
 from dunepulley.control import codec, plan_application
 from dunepulley.control import traffic_plan as plans
 from dunepulley.load import links
+from dunepulley.load.ports import free_port
 
 
 def with_fleet(**fleet_options):
--- a/tests/agent/test_recorded_output.py
+++ b/tests/agent/test_recorded_output.py
@@ -14,6 +14,7 @@
 from dunepulley import VERSION
 from dunepulley.agent import agent, config, ctl
 from dunepulley.agent.ctl import arguments, calls, rendering
+from dunepulley.load.ports import free_port
 
 DATA = pathlib.Path(__file__).parents[1] / "data" / "agent"
 REPLIES = json.loads((DATA / "replies.json").read_text())
@@ -66,20 +67,11 @@
         return "200 takes clients\n"
 
 
-async def closed_port():
-    """A port at which nobody listens."""
-    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    server.close()
-    await server.wait_closed()
-    return port
-
-
 @contextlib.asynccontextmanager
 async def recorded_agent(folder):
     """An agent like the recorded one, and the placeholders of its addresses in the recording."""
     server = await asyncio.start_server(ScriptedDispatcher().call, "127.0.0.1", 0)
-    dispatcher_address, unused_port = f"127.0.0.1:{server.sockets[0].getsockname()[1]}", await closed_port()
+    dispatcher_address, unused_port = f"127.0.0.1:{server.sockets[0].getsockname()[1]}", free_port()
     lines = [f'listen = "127.0.0.1:{unused_port}"', 'state = "drains.json"', "answer_s = 0.3"]
     for name, address in (("n0", dispatcher_address), ("n1", f"127.0.0.1:{unused_port}")):
         lines += ["[[dispatcher]]", f'name = "{name}"', f'console = "{address}"']
--- a/tests/agent/test_storage_faults.py
+++ b/tests/agent/test_storage_faults.py
@@ -12,7 +12,7 @@
 from unittest import mock
 
 import pytest
-from support.dispatcher_process import DispatcherHost, free_port
+from support.dispatcher_process import DispatcherHost
 from support.event_loop import on_loop, until
 from support.faulty_files import FaultyFiles, FileCall, after_power_loss, kill_before_each_call, run_in_child
 
@@ -32,6 +32,7 @@
 from dunepulley.agent.ctl.calls import AgentAnswer
 from dunepulley.control import drain_json, drains
 from dunepulley.control.caspaxos import AcceptorState, Ballot
+from dunepulley.load.ports import free_port
 from dunepulley.net import hot_restart, log, recorder
 from dunepulley.net.counters import Counters
 
--- a/tests/net/test_admin.py
+++ b/tests/net/test_admin.py
@@ -14,6 +14,7 @@
 from support.http_messages import ACCEPTED, read_message, request
 
 from dunepulley.__main__ import main
+from dunepulley.load.ports import free_port
 from dunepulley.net import admin, shutdown
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -83,8 +84,7 @@
             "console": f"127.0.0.1:{occupied.getsockname()[1]}" if address == "TAKEN" else address,
         }
         if address == "TAKEN":
-            with socket.create_server(("127.0.0.1", 0)) as free:
-                config["listen"] = f"127.0.0.1:{free.getsockname()[1]}"
+            config["listen"] = f"127.0.0.1:{free_port()}"
         path.write_text(json.dumps(config))
         assert main(["serve", "--config", str(path)]) == 2
     lines = capfd.readouterr().err.splitlines()
--- a/tests/net/test_gossip_faults.py
+++ b/tests/net/test_gossip_faults.py
@@ -4,7 +4,6 @@
 import socket
 
 import pytest
-from support.dispatcher_process import free_port
 from support.event_loop import on_loop, until
 from support.faulty_sockets import FaultySockets
 from support.system_call_faults import (
@@ -12,6 +11,7 @@
     NO_MEMORY,
 )
 
+from dunepulley.load.ports import free_port
 from dunepulley.net.counters import Counters
 from dunepulley.net.peers import Peers
 from dunepulley.routing.commands import SendGossip
--- a/tests/net/test_service.py
+++ b/tests/net/test_service.py
@@ -18,6 +18,7 @@
 from support.http_messages import ACCEPTED, CHUNKED_HEAD, chunk, exchange, read_message, request, response
 
 from dunepulley.__main__ import main
+from dunepulley.load.ports import free_port
 from dunepulley.net import config, discovery, list_polling, log
 from dunepulley.net.counters import Counters
 from dunepulley.net.endpoint_list import parse_endpoint_list
@@ -400,8 +401,7 @@
     def __init__(self, folder, worker, discovery_server, **settings):
         self.path = folder / "config.json"
         self.environment = os.environ | {"ROUTER_DISCOVERY": discovery_server.address}
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = free.getsockname()[1]
+        self.port = free_port()
         categories = [dict(CONFIG["settings"]["categories"][0], **settings)]
         configuration = CONFIG | {
             "listen": f"127.0.0.1:{self.port}",
--- a/tests/support/agent_fleet.py
+++ b/tests/support/agent_fleet.py
@@ -13,7 +13,7 @@
 
 from dunepulley.agent import wire
 from dunepulley.load import links
-from support.dispatcher_process import free_port
+from dunepulley.load.ports import free_port
 from support.event_loop import until, until_answered
 from support.fake_dispatcher import FakeDispatcher
 
--- a/tests/support/dispatcher_process.py
+++ b/tests/support/dispatcher_process.py
@@ -6,10 +6,10 @@
 import contextlib
 import json
 import os
-import socket
 import sys
 from pathlib import Path
 
+from dunepulley.load.ports import free_port
 from dunepulley.net import hot_restart
 from support.event_loop import WAIT_TIMEOUT_S, until
 from support.fake_discovery import member, members
@@ -19,12 +19,6 @@
 ENDPOINT_COUNT = 4
 
 
-def free_port() -> int:
-    """A port at which nothing listens at the moment."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        return free.getsockname()[1]
-
-
 class DispatcherHost:
     """What the processes of one dispatcher share: the address, $TMPDIR, a fake endpoint and a fake discovery.
 
