A connection whose deferred step fails is closed

Parts of a request's handling wait for their turn (decoding of many chunks, passing a complete request on). A step that raised was logged, and the queue went on. A complete request was then never answered and its bytes stayed counted in the memory budget; one whose chunks were being decoded was answered 408 after 2 s. Where the same code raises while bytes are read, asyncio closes the connection.

Change: TurnQueue calls on_failure with the item of a step that raised, also of one that runs at once; the table aborts the connection, which gives its bytes back. _excess_bytes loses a default that nobody used.

tests/net/test_turn_queue.py: a connection whose step fails, for either queue; both cases failed before (one got the 408, the other's time ran out). Four other tests there fail on the old code only because the queue has a new argument.

--- a/dunepulley/net/frontend/connection_table.py
+++ b/dunepulley/net/frontend/connection_table.py
@@ -57,8 +57,11 @@
         # Each connection copies what it has read before the next one reads.
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.counters = counters
-        self.decoding_queue = TurnQueue(self.loop, Connection.decode_some)
-        self.request_queue = TurnQueue(self.loop, Connection.process_request, REQUESTS_PER_TURN)
+        # A connection whose step fails is closed: else its client would wait, and its bytes stay counted.
+        self.decoding_queue = TurnQueue(self.loop, Connection.decode_some, Connection.abort)
+        self.request_queue = TurnQueue(
+            self.loop, Connection.process_request, Connection.abort, REQUESTS_PER_TURN
+        )
         # Called when a connection was added, to free a descriptor elsewhere if few are left.
         self.on_accepted: Callable[[], None] = lambda: None
         self.accepted: set[Connection] = set()
@@ -149,7 +152,7 @@
             self.counters["unread responses dropped"] += 1
             self._close_first(self.unread)
 
-    def _excess_bytes(self, size: int = 0) -> int:
+    def _excess_bytes(self, size: int) -> int:
         """Return by how much the memory in use, with `size` bytes more, exceeds the limit; or less than 0."""
         return self.partial_bytes + self.complete_bytes + size - self.max_request_bytes
 
--- a/dunepulley/net/frontend/turn_queue.py
+++ b/dunepulley/net/frontend/turn_queue.py
@@ -18,14 +18,20 @@
     Args:
         loop: the event loop.
         step: called with an item whose turn it is; it may add the item again.
+        on_failure: called with an item whose step raised an exception, which is logged.
         per_turn: the number of steps in each turn.
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, step: Callable[[Item], None], per_turn: int = 1
+        self,
+        loop: asyncio.AbstractEventLoop,
+        step: Callable[[Item], None],
+        on_failure: Callable[[Item], None],
+        per_turn: int = 1,
     ) -> None:
         self._loop = loop
         self._step = step
+        self._on_failure = on_failure
         self._per_turn = per_turn
         self._waiting: dict[Item, None] = {}
         # The steps run in this turn, and whether the next turn is scheduled.
@@ -47,7 +53,7 @@
             return
         self._used += 1
         self._schedule()
-        self._step(item)
+        self._run_step(item)
 
     def discard(self, item: Item) -> None:
         """Remove an item if it waits."""
@@ -65,10 +71,14 @@
             item = next(iter(self._waiting))
             del self._waiting[item]
             self._used += 1
-            try:
-                self._step(item)
-            except Exception as error:
-                # One failing step must not stop the others.
-                self._loop.call_exception_handler({"message": "a step failed", "exception": error})
+            self._run_step(item)
         if self._waiting or self._used:
             self._schedule()
+
+    def _run_step(self, item: Item) -> None:
+        try:
+            self._step(item)
+        except Exception as error:
+            # One failing step must not stop the others.
+            self._loop.call_exception_handler({"message": "a step failed", "exception": error})
+            self._on_failure(item)
--- a/tests/net/test_turn_queue.py
+++ b/tests/net/test_turn_queue.py
@@ -8,6 +8,8 @@
 from support.http_messages import ACCEPTED, HEALTH_REQUEST, read_message, request, response
 
 from dunepulley.net.frontend import connection_table
+from dunepulley.net.frontend.connection import Connection
+from dunepulley.net.frontend.framing import RequestBuffer
 from dunepulley.net.frontend.turn_queue import TurnQueue
 
 
@@ -17,7 +19,7 @@
     def __init__(self, per_turn=1, **times):
         self.times = times
         self.run = []
-        self.queue = TurnQueue(asyncio.get_running_loop(), self.step, per_turn)
+        self.queue = TurnQueue(asyncio.get_running_loop(), self.step, self.run.append, per_turn)
 
     def step(self, item):
         self.run.append(item)
@@ -56,22 +58,60 @@
 
 
 @on_loop
-async def test_a_step_that_fails_does_not_stop_the_others():
-    faults = []
+async def test_a_step_that_fails_is_reported_and_does_not_stop_the_others():
+    logged = []
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(lambda loop, context: faults.append(context["exception"]))
-    run = []
+    loop.set_exception_handler(lambda loop, context: logged.append(context["exception"]))
+    run, failed = [], []
 
     def step(item):
-        if item == "faulty":
+        if item.startswith("faulty"):
             raise RuntimeError("fault")
         run.append(item)
 
-    queue = TurnQueue(loop, step)
+    queue = TurnQueue(loop, step, failed.append)
+    queue.run_or_add("faulty at once")
     queue.add("faulty")
     queue.add("next")
     await until(lambda: run == ["next"])
-    assert len(faults) == 1
+    assert failed == ["faulty at once", "faulty"] and len(logged) == 2
+
+
+MANY_CHUNKS = b"POST /look/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * 2000
+
+
+@pytest.mark.parametrize(
+    ("queue", "raw", "owner", "method"),
+    [
+        ("decoding_queue", MANY_CHUNKS, RequestBuffer, "is_complete"),
+        ("request_queue", request("/look/1"), Connection, "client_closed"),
+    ],
+)
+@on_loop
+async def test_a_connection_whose_step_fails_is_closed(monkeypatch, queue, raw, owner, method):
+    # Guards against a client that waits in vain, on a connection whose bytes stay counted.
+    def fail(self, *arguments):
+        raise RuntimeError("fault")
+
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    async with DispatcherRig(lambda call: ACCEPTED) as rig:
+        server = rig.frontend.server
+        reader, writer = await rig.connect()
+        with monkeypatch.context() as nobody_has_a_turn:
+            nobody_has_a_turn.setattr(getattr(server, queue), "_per_turn", 0)
+            writer.write(raw)
+            await until(lambda: len(getattr(server, queue)) == 1)
+        with monkeypatch.context() as fault:
+            fault.setattr(owner, method, fail)
+            getattr(server, queue)._schedule()
+            assert await reader.read() == b""
+            await until(lambda: not server.accepted)
+        assert (server.partial_bytes, server.complete_bytes) == (0, 0)
+        writer.close()
+        reader, writer = await rig.connect()
+        writer.write(HEALTH_REQUEST)
+        assert (await read_message(reader)).target == "200"
+        writer.close()
 
 
 @on_loop
