--- a/dunepulley/net/config.py
+++ b/dunepulley/net/config.py
@@ -17,7 +17,7 @@
 from dunepulley.net.addresses import parse_address
 from dunepulley.net.endpoint_list import EndpointList, parse_endpoint_list
 from dunepulley.net.settings_document import class_settings, flatten_settings
-from dunepulley.net.system_errors import OUT_OF_DESCRIPTORS, OUT_OF_MEMORY
+from dunepulley.net.system_errors import is_exhaustion
 from dunepulley.routing.events import EndpointListUpdate, ListUpdateKind
 from dunepulley.trace_format import MAX_REQUESTS as MAX_TRACE_REQUESTS
 
@@ -41,7 +41,7 @@
         """Whether this host had no descriptor or memory to read a file, which may be readable soon."""
         cause: BaseException | None = self
         while cause is not None:
-            if getattr(cause, "errno", None) in OUT_OF_DESCRIPTORS | OUT_OF_MEMORY:
+            if is_exhaustion(cause):
                 return True
             cause = cause.__cause__
         return False
--- a/dunepulley/net/frontend/server.py
+++ b/dunepulley/net/frontend/server.py
@@ -174,12 +174,7 @@
         connection = request.protocol.transport.get_protocol()
         try:
             response, outcome = await self._route(request, connection)
-            # After SIGTERM connected clients are still served: they may have no other dispatcher for a while.
-            if not connection.is_endpoint and (
-                self.is_rejecting or self.drain_state not in (SERVING, SHUTTING_DOWN)
-            ):
-                response.force_close()
-            if not connection.is_kept_open:
+            if not connection.is_kept_open or self._sends_clients_away(connection):
                 response.force_close()
             connection.start_response(len(response.body or b""))
             with contextlib.suppress(ConnectionError):  # the client has gone
@@ -193,6 +188,14 @@
             connection.finish_request()
         return response
 
+    def _sends_clients_away(self, connection: Connection) -> bool:
+        """Return whether a connection is closed after its response, so that its client goes elsewhere.
+
+        After SIGTERM connected clients are still served: they may have no other dispatcher for a while.
+        """
+        is_leaving = self.is_rejecting or self.drain_state not in (SERVING, SHUTTING_DOWN)
+        return is_leaving and not connection.is_endpoint
+
     async def _route(
         self, request: web.BaseRequest, connection: Connection
     ) -> tuple[web.StreamResponse, str]:
--- a/dunepulley/net/hot_restart/coordinator.py
+++ b/dunepulley/net/hot_restart/coordinator.py
@@ -193,15 +193,16 @@
 
     def announce_request(self, request_id: str) -> None:
         """Send the id of a request that this process takes to the processes that serve beside it."""
-        if self.parent is not None or self.child is not None:
-            self._announce(RequestsTaken([request_id]))
+        self._announce(RequestsTaken, request_id)
 
     def announce_abandoned(self, request_id: str) -> None:
         """Send the id of a request that may have run and whose client has gone, in the same way."""
-        if self.parent is not None or self.child is not None:
-            self._announce(RequestsAbandoned([request_id]))
+        self._announce(RequestsAbandoned, request_id)
 
-    def _announce(self, message: RequestsTaken | RequestsAbandoned) -> None:
+    def _announce(self, kind: type[RequestsTaken] | type[RequestsAbandoned], request_id: str) -> None:
+        if self.parent is None and self.child is None:
+            return
+        message = kind([request_id])
         self._send_ids(message, self.parent)
         if self._handed_over:
             self._send_ids(message, self.child)
--- a/dunepulley/net/peers.py
+++ b/dunepulley/net/peers.py
@@ -11,7 +11,7 @@
 
 from dunepulley.gossip_codec import decode_gossip, encode_gossip
 from dunepulley.net.counters import Counters
-from dunepulley.net.system_errors import OUT_OF_DESCRIPTORS, OUT_OF_MEMORY
+from dunepulley.net.system_errors import is_exhaustion
 from dunepulley.routing.commands import SendGossip
 from dunepulley.routing.events import GossipReceived
 
@@ -52,7 +52,7 @@
                 await loop.create_datagram_endpoint(lambda: self, local_addr=address)
                 return
             except OSError as error:
-                if error.errno not in OUT_OF_DESCRIPTORS | OUT_OF_MEMORY or loop.time() > deadline:
+                if not is_exhaustion(error) or loop.time() > deadline:
                     raise
             await asyncio.sleep(RETRY_INTERVAL_S)
 
--- a/dunepulley/net/system_errors.py
+++ b/dunepulley/net/system_errors.py
@@ -18,7 +18,8 @@
 NO_ROUTE_OR_PERMISSION = frozenset(
     (errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.ENETUNREACH, errno.ENETDOWN, errno.EPERM, errno.EACCES)
 )
-LOCAL_ERRORS = OUT_OF_DESCRIPTORS | OUT_OF_MEMORY | NO_ROUTE_OR_PERMISSION
+EXHAUSTED_RESOURCES = OUT_OF_DESCRIPTORS | OUT_OF_MEMORY
+LOCAL_ERRORS = EXHAUSTED_RESOURCES | NO_ROUTE_OR_PERMISSION
 # accept(2): errors that were pending on the new connection, which accept has removed from the queue.
 PENDING_SOCKET_ERRORS = frozenset(
     (
@@ -31,3 +32,8 @@
 def is_local_error(error: BaseException) -> bool:
     """Whether an exchange failed because of this host, not because of the endpoint."""
     return getattr(error, "errno", None) in LOCAL_ERRORS
+
+
+def is_exhaustion(error: BaseException) -> bool:
+    """Whether a system call failed because this host had no descriptor or memory for it."""
+    return getattr(error, "errno", None) in EXHAUSTED_RESOURCES
--- a/dunepulley/net/upstream/client.py
+++ b/dunepulley/net/upstream/client.py
@@ -14,7 +14,7 @@
 from dunepulley.net.counters import Counters
 from dunepulley.net.log_events import LogEvent
 from dunepulley.net.messages import AttemptFinished, UpstreamAttempt
-from dunepulley.net.system_errors import OUT_OF_DESCRIPTORS, OUT_OF_MEMORY, is_local_error
+from dunepulley.net.system_errors import is_exhaustion, is_local_error
 from dunepulley.net.upstream.cancellation import RESPONSE_TIMEOUT_S, Cancellation
 from dunepulley.net.upstream.connection_pool import EndpointConnector
 from dunepulley.net.upstream.request_body import AttemptBody
@@ -255,7 +255,7 @@
         """Return the result of a failed exchange, after a delay if this host is at fault."""
         is_local = is_local_error(error)
         if is_local:
-            is_exhausted = getattr(error, "errno", None) in OUT_OF_DESCRIPTORS | OUT_OF_MEMORY
+            is_exhausted = is_exhaustion(error)
             self.counters["no descriptor" if is_exhausted else "no way out"] += 1
             log.write(
                 LogEvent.SOCKETS, f"local fault on a connection to endpoint {attempt.endpoint_id}: {error}"
