An attempt that failed does not stay in memory until the garbage collector runs

Found by counting what each stage holds for a connection: with 300 clients that send 64 KB and leave after 0.2 s, a process of 80 MB reached 70 MB, although the budget for requests was kept.

Cause: the HTTP library stores the error that ended a connection in that connection, and the frames of its traceback refer to the connection, to the attempt's body and to its request. Such a cycle waits for the garbage collector, which runs each 50,000 objects; the budget does not count it, as the request has ended. It came with each refused connection, each broken or unsound response, and each attempt that must not start any more as its client has gone. Ruled out: requests in the table (their bodies are freed when they end), the router's queue, the clients' side.

Change: drop_tracebacks (net/tracebacks.py) in all handlers of the library's errors: attempts, cancellations, health checks, discovery, and the front end, which had its own line for it. The three handlers of a failed health check are one, with its results in responses.py.

--- a/dunepulley/net/discovery.py
+++ b/dunepulley/net/discovery.py
@@ -20,6 +20,7 @@
 from dunepulley.net.list_polling import PollBackoff, WatchEnd
 from dunepulley.net.log_events import LogEvent
 from dunepulley.net.system_errors import is_local_error
+from dunepulley.net.tracebacks import drop_tracebacks
 
 # Delay after a call that failed on this host: it put no load on discovery, so no backoff is needed.
 LOCAL_FAULT_RETRY_S = 0.1
@@ -91,6 +92,7 @@
             await self._watch(session)
             log.write(LogEvent.DISCOVERY, "the watch ended")
         except (aiohttp.ClientError, OSError) as error:
+            drop_tracebacks(error)
             return self._call_failed(error, called_at_s)
         except RefusedError as error:
             # The current list remains valid, and requesting a full list would cost discovery the most.
--- a/dunepulley/net/frontend/http_handler.py
+++ b/dunepulley/net/frontend/http_handler.py
@@ -8,6 +8,8 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from dunepulley.net.tracebacks import drop_tracebacks
+
 
 class HttpHandler(RequestHandler):
     """Handles the requests of one connection.
@@ -36,9 +38,7 @@
         """Return the response to a request that could not be parsed, or whose handler failed."""
         if status >= web.HTTPInternalServerError.status_code:
             return super().handle_error(request, status, exc, message)
-        if exc is not None:
-            # The frames of the traceback hold the error in turn, and the bytes of the request.
-            exc.__traceback__ = None
+        drop_tracebacks(exc)
         self._count_rejection(status, "the request cannot be parsed")
         response = web.Response(status=status)
         response.force_close()
--- a/dunepulley/net/upstream/cancellation.py
+++ b/dunepulley/net/upstream/cancellation.py
@@ -10,6 +10,7 @@
 from dunepulley.net.counters import Counters
 from dunepulley.net.messages import UpstreamAttempt
 from dunepulley.net.system_errors import is_local_error
+from dunepulley.net.tracebacks import drop_tracebacks
 from dunepulley.net.upstream.responses import endpoint_url, read_response_body
 
 # Ten times the longest round trip: an endpoint that does not respond within this time is down or unreachable.
@@ -59,6 +60,7 @@
             try:
                 await self._send(timeout_s)
             except (aiohttp.ClientError, OSError) as error:
+                drop_tracebacks(error)
                 is_local = self._record_failure(error)
                 if not self.is_confirmed and (is_local or not self._is_hedged):
                     await asyncio.sleep(RETRY_INTERVAL_S)
--- a/dunepulley/net/upstream/client.py
+++ b/dunepulley/net/upstream/client.py
@@ -15,6 +15,7 @@
 from dunepulley.net.log_events import LogEvent
 from dunepulley.net.messages import AttemptFinished, UpstreamAttempt
 from dunepulley.net.system_errors import is_exhaustion, is_local_error
+from dunepulley.net.tracebacks import drop_tracebacks
 from dunepulley.net.upstream.cancellation import RESPONSE_TIMEOUT_S, Cancellation
 from dunepulley.net.upstream.connection_pool import EndpointConnector
 from dunepulley.net.upstream.request_body import AttemptBody
@@ -24,6 +25,7 @@
     endpoint_url,
     parse_health_report,
     read_response_body,
+    result_of_failed_check,
     result_of_failure,
     result_of_response,
 )
@@ -201,7 +203,8 @@
     async def _exchange(self, attempt: UpstreamAttempt, body: AttemptBody, exchange: _Exchange) -> None:
         try:
             await self._post(attempt, body, exchange)
-        except aiohttp.SocketTimeoutError:
+        except aiohttp.SocketTimeoutError as error:
+            drop_tracebacks(error)
             self.counters["ho unanswered"] += not exchange.accepted
             if not attempt.callback_received and not exchange.accepted:
                 # The endpoint may have accepted it: it is cancelled there before the router retries it.
@@ -210,6 +213,7 @@
                 self._cancel_at_endpoint(attempt, result)
             return
         except (aiohttp.ClientError, OSError) as error:
+            drop_tracebacks(error)
             exchange.result = await self._result_of_failure(attempt, error)
             if exchange.result in _CONNECTION_LOSSES and not exchange.accepted:
                 # The 202 may have been lost with the connection, and the endpoint may run the attempt: it is
@@ -337,12 +341,9 @@
                 result = results.get(response.status, AttemptResult.ERRORED)
                 if self._has_reports and response.status in results:
                     report = parse_health_report(text)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            result = AttemptResult.NOT_SENT if is_local_error(error) else AttemptResult.CONNECT_FAILED
-        except TimeoutError:
-            result = AttemptResult.TIMED_OUT
-        except (aiohttp.ClientError, OSError):
-            result = AttemptResult.CONNECTION_LOST
+        except (aiohttp.ClientError, OSError) as error:
+            drop_tracebacks(error)
+            result = result_of_failed_check(error)
         self.put(HealthCheckEnded(endpoint_id, result, (loop.time() - started_s) * 1000.0, report))
 
 
--- a/dunepulley/net/upstream/responses.py
+++ b/dunepulley/net/upstream/responses.py
@@ -12,6 +12,7 @@
 from dunepulley import load_reports
 from dunepulley.net.addresses import parse_address
 from dunepulley.net.messages import UpstreamAttempt
+from dunepulley.net.system_errors import is_local_error
 from dunepulley.routing.events import AttemptResult
 
 # Limits for the body of a response, which is at most 64 KB and normally arrives together with the head. They
@@ -72,6 +73,13 @@
     return AttemptResult.NOT_SENT if is_blameless else AttemptResult.CONNECT_FAILED
 
 
+def result_of_failed_check(error: Exception) -> AttemptResult:
+    """Return the result of a health check whose exchange failed."""
+    if isinstance(error, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError):
+        return AttemptResult.NOT_SENT if is_local_error(error) else AttemptResult.CONNECT_FAILED
+    return AttemptResult.TIMED_OUT if isinstance(error, TimeoutError) else AttemptResult.CONNECTION_LOST
+
+
 def ended_by_endpoint(error: Exception) -> bool:
     """Return whether the endpoint closed or reset the connection, as opposed to a timeout or local fault."""
     is_reset = getattr(error, "errno", None) in (errno.ECONNRESET, errno.EPIPE)
