--- a/dunepulley/net/counters.py
+++ b/dunepulley/net/counters.py
@@ -18,6 +18,8 @@
 ATTEMPTS_WRITTEN = "sends"
 # Connections to endpoints that were closed because bytes came that answered no request.
 UNSOLICITED_DATA = "unsolicited answers"
+# Connections to endpoints that were closed because more than one response may be came.
+EXCESSIVE_RESPONSES = "excessive answers"
 
 
 class Counters(Counter):
--- a/dunepulley/net/upstream/connection_pool.py
+++ b/dunepulley/net/upstream/connection_pool.py
@@ -3,55 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
 from functools import partial
 from time import monotonic
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
-from dunepulley.net.counters import UNSOLICITED_DATA, Counters
+from dunepulley.net.counters import Counters
+from dunepulley.net.upstream.endpoint_connection import EndpointConnection
 
 # After a response, a connection is not reused for this time: an endpoint, or a middlebox, may send the
 # response a second time some milliseconds later.
 REST_S = 0.05
 
 
-class EndpointConnection(ResponseHandler):
-    """A connection to an endpoint, closed as soon as the endpoint sends bytes between two exchanges.
-
-    A response names no request: what arrives between two exchanges would be taken for the response to the
-    next request.
-    """
-
-    def __init__(self, counters: Counters, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
-        self._counters = counters
-        self.is_idle = False
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes; if the connection is idle, close it instead."""
-        if not self.is_idle:
-            super().data_received(data)
-        elif self.is_connected():
-            self._counters[UNSOLICITED_DATA] += 1
-            self.force_close()
-            self.transport.abort()
-
-    def may_send_request(self) -> bool:
-        """Whether the next bytes that arrive can only answer a request that is sent now.
-
-        Asks the operating system, too: the event loop may not have read yet what has arrived, or a close.
-        """
-        if not self.is_connected() or self.should_close:
-            return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
-
-
 class EndpointConnector(aiohttp.TCPConnector):
     """A connection pool that reuses only connections on which no stale response can arrive.
 
@@ -94,12 +60,12 @@
             return None
         connection = await super()._get(key, traces)
         if connection is not None:
-            connection.protocol.is_idle = False
+            connection.protocol.start_exchange()
         return connection
 
     def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
         super()._release(key, protocol, should_close=should_close)
-        protocol.is_idle = True
+        protocol.end_exchange()
         self._max_idle_count += 1
         self.close_excess_idle()
 
