The two processes of a hot restart share memory and idle connections, too

Cause: while two processes of a dispatcher serve, each uses half of its limits, as the platform counts both. That held for connections from clients and for connections in use to endpoints. The memory for requests and the idle connections to endpoints, whose limits came later, were not part of it: a quarter of the memory limit instead of an eighth, and 13/8 of the descriptors.

Change: set_limit_fraction of the table and of the connector (set_connection_fraction before) apply the fraction to all of them, and close at once what is over it.

--- a/dunepulley/net/frontend/connection_table.py
+++ b/dunepulley/net/frontend/connection_table.py
@@ -54,6 +54,8 @@
         self.partial_bytes = self.complete_bytes = 0
         self.max_partial_bytes = _DEFAULT_PARTIAL_BYTES
         self.max_request_bytes = _DEFAULT_REQUEST_BYTES
+        # The fraction of the limits that this process may use.
+        self._fraction = 1.0
         # Each connection copies what it has read before the next one reads.
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.counters = counters
@@ -108,8 +110,6 @@
         self.partial[connection] = self.loop.time()
         connection.counted_bytes = connection.buffer.size()
         self.partial_bytes += connection.counted_bytes
-        while self.partial_bytes > self.max_partial_bytes:
-            self._close_first(self.partial)
         self._free_memory(0)
 
     def mark_busy(self, connection: Connection, size: int, is_callback: bool) -> bool:
@@ -118,7 +118,7 @@
         Returns whether there is memory for it, for which others may be closed.
         """
         self._clear(connection)
-        limit = self.max_request_bytes
+        limit = self.max_request_bytes * self._fraction
         if size > SMALL_REQUEST_BYTES and not is_callback:
             limit *= LARGE_REQUESTS_FRACTION
         self._free_memory(size)
@@ -145,6 +145,8 @@
 
     def _free_memory(self, size: int) -> None:
         """Make room for a number of bytes: partial requests go first, then responses that are not read."""
+        while self.partial_bytes > self.max_partial_bytes * self._fraction:
+            self._close_first(self.partial)
         while self.partial and self._excess_bytes(size) > 0:
             self._close_first(self.partial)
         latest_s = self.loop.time() - MIN_UNREAD_S
@@ -152,9 +154,9 @@
             self.counters["unread responses dropped"] += 1
             self._close_first(self.unread)
 
-    def _excess_bytes(self, size: int) -> int:
+    def _excess_bytes(self, size: int) -> float:
         """Return by how much the memory in use, with `size` bytes more, exceeds the limit; or less than 0."""
-        return self.partial_bytes + self.complete_bytes + size - self.max_request_bytes
+        return self.partial_bytes + self.complete_bytes + size - self.max_request_bytes * self._fraction
 
     def _clear(self, connection: Connection) -> None:
         """Forget the state of a connection and the bytes that it holds."""
@@ -213,11 +215,13 @@
             ]
         )
 
-    def set_connection_fraction(self, fraction: float) -> None:
-        """Limit the connections to a fraction of the maximum, while another process uses the remainder."""
+    def set_limit_fraction(self, fraction: float) -> None:
+        """Use a fraction of the connections and of the memory, while another process uses the remainder."""
+        self._fraction = fraction
         self.limit = int(self.full_limit * fraction)
         while len(self.accepted) > self.limit and self.evict_connection():
             pass
+        self._free_memory(0)
 
     def close_idle(self, close_all: bool = False) -> None:
         """Close connections that wait for a request; a client that has just sent one sends it again.
--- a/dunepulley/net/handover.py
+++ b/dunepulley/net/handover.py
@@ -141,8 +141,8 @@
     # ---------------------------------------------------------------- both
 
     def _use_limits(self, fraction: float) -> None:
-        self.frontend.server.set_connection_fraction(fraction)
-        self.upstream.set_connection_fraction(fraction)
+        self.frontend.server.set_limit_fraction(fraction)
+        self.upstream.set_limit_fraction(fraction)
 
     def cancel(self) -> None:
         """Cancel the task that `hand_over` or `resume` has started."""
--- a/dunepulley/net/upstream/client.py
+++ b/dunepulley/net/upstream/client.py
@@ -124,9 +124,10 @@
         session._retry_connection = False
         return session
 
-    def set_connection_fraction(self, fraction: float) -> None:
-        """Limit the connections to a fraction of the maximum, while another process uses the remainder."""
+    def set_limit_fraction(self, fraction: float) -> None:
+        """Use a fraction of the connections, while another process uses the remainder."""
         self.session.connector._limit = max(4, int(self._max_connections * fraction))
+        self.session.connector.set_limit_fraction(fraction)
 
     def share_descriptors_with(self, count_connections: Callable[[], int]) -> None:
         """Keep fewer idle connections while there are many connections of another kind."""
--- a/dunepulley/net/upstream/connection_pool.py
+++ b/dunepulley/net/upstream/connection_pool.py
@@ -40,7 +40,7 @@
     ) -> None:
         super().__init__(limit=limit, limit_per_host=limit_per_host, keepalive_timeout=keepalive_s)
         self._factory = partial(EndpointConnection, counters, loop=asyncio.get_running_loop())
-        self.max_connections = max_connections
+        self.max_connections = self._full_limit = max_connections
         # There are no more idle connections than this; counted anew when it matters.
         self._max_idle_count = 0
         # The number of connections outside this pool that use the same descriptors.
@@ -69,6 +69,11 @@
         self._max_idle_count += 1
         self.close_excess_idle()
 
+    def set_limit_fraction(self, fraction: float) -> None:
+        """Keep a fraction of the connections that are kept otherwise."""
+        self.max_connections = int(self._full_limit * fraction)
+        self.close_excess_idle()
+
     def close_excess_idle(self, new_connections: int = 0) -> None:
         """Close the longest idle connections, if there are too many, or would be with `new_connections`."""
         max_idle = self.max_connections - len(self._acquired) - self.other_connections() - new_connections
--- a/tests/net/test_descriptor_shares.py
+++ b/tests/net/test_descriptor_shares.py
@@ -1,5 +1,6 @@
 """Descriptors for connections to endpoints and from clients, and what needs one when none is left."""
 
+import contextlib
 import errno
 import json
 
@@ -46,6 +47,25 @@
             await server.__aexit__()
 
 
+@on_loop
+async def test_two_processes_of_a_hot_restart_share_the_descriptors_for_idle_connections():
+    # Guards against more descriptors than the limit while two processes serve: they share one limit.
+    async with UpstreamSender() as sender, contextlib.AsyncExitStack() as stack:
+        servers = [await stack.enter_async_context(FakeServer(lambda call: ACCEPTED)) for _ in range(40)]
+        for count, server in enumerate(servers, 1):
+            sender.send(server.address)
+            await sender.wait_until_accepted(count)
+        sender.upstream.set_limit_fraction(0.5)
+        assert idle_connections(sender.upstream) == 26  # of 52 that one process may keep
+        sender.send(servers[0].address)  # whose connection was closed
+        await sender.wait_until_accepted(41)
+        assert idle_connections(sender.upstream) == 26
+        sender.upstream.set_limit_fraction(1.0)
+        sender.send(servers[1].address)
+        await sender.wait_until_accepted(42)
+        assert idle_connections(sender.upstream) == 27
+
+
 @on_loop
 async def test_each_accepted_client_makes_endpoints_idle_connections_give_way():
     async with DispatcherRig(*[lambda call: ACCEPTED] * 4, sockets=64) as rig:
--- a/tests/net/test_frontend_limits.py
+++ b/tests/net/test_frontend_limits.py
@@ -126,7 +126,7 @@
         partial[0][1].write(b"x")
         await until(lambda: rig.core.counters["taken"] == 1)
         assert len(rig.frontend.server.partial) == 1
-        rig.frontend.server.set_connection_fraction(0.1)  # as during a hot restart
+        rig.frontend.server.set_limit_fraction(0.1)  # as during a hot restart
         await until(lambda: len(rig.frontend.server.accepted) == 1)
         with contextlib.suppress(ConnectionError):
             assert await partial[1][0].read() == b""
--- a/tests/net/test_idle_connections.py
+++ b/tests/net/test_idle_connections.py
@@ -118,7 +118,7 @@
         if sent == "before":
             client.socket.send(raw)
         if cause == "another process":
-            server.set_connection_fraction(0.0)
+            server.set_limit_fraction(0.0)
         else:
             assert server.evict_connection()
         # Between the decision to close and the close itself, which is one turn of the loop later.
@@ -160,7 +160,7 @@
         for number, (client, raw) in enumerate(zip(clients, raws, strict=True)):
             if number % 2:
                 client.socket.send(raw[cut:])
-        server.set_connection_fraction(6 / server.full_limit)
+        server.set_limit_fraction(6 / server.full_limit)
         for number, (client, raw) in enumerate(zip(clients, raws, strict=True)):
             if not number % 2:
                 client.socket.send(raw[cut:])
--- a/tests/net/test_pinned_library.py
+++ b/tests/net/test_pinned_library.py
@@ -101,7 +101,7 @@
     async with FakeServer(lambda call: SILENT) as peer, StandaloneClient() as client:
         connector = client.session.connector
         initial_limit = connector.limit
-        client.set_connection_fraction(0.5)
+        client.set_limit_fraction(0.5)
         assert connector.limit < initial_limit, "setting _limit does not change the limit"
         connector._limit = 1
         url = f"http://{peer.address}/ping"
--- a/tests/net/test_request_memory.py
+++ b/tests/net/test_request_memory.py
@@ -12,6 +12,7 @@
 from dunepulley.net.frontend import connection as client_connection
 from dunepulley.net.frontend import connection_table
 from dunepulley.net.frontend.connection import MAX_KEPT_HEAD_BYTES
+from dunepulley.net.handover import SHARED_LIMIT_FRACTION
 
 LARGE = b"x" * 60_000
 LATE = {f"categories__{number}__dueTimeMs": 60000.0 for number in range(3)}
@@ -87,6 +88,30 @@
         assert not rig.core.counters["turned away 503"]
 
 
+@on_loop
+async def test_two_processes_of_a_hot_restart_share_the_memory():
+    # Guards against twice the memory for requests while two processes serve: they share one limit.
+    async with DispatcherRig(respond, **LATE) as rig:
+        table = rig.frontend.server
+        table.max_request_bytes = 6 * len(LARGE)
+        table.max_partial_bytes = 4 * len(LARGE)
+        halves = [await rig.connect() for _ in range(3)]
+        for number, (_, writer) in enumerate(halves):
+            writer.write(request("/look/1", LARGE, request_id=f"h{number}")[:-1])
+            await until(lambda number=number: len(table.partial) == number + 1)
+        await until(lambda: table.partial_bytes > 3 * len(LARGE))
+        rig.service.hot_restart_actions._use_limits(SHARED_LIMIT_FRACTION)
+        assert len(table.partial) == 1 and table.partial_bytes <= 2 * len(LARGE)
+        halves[2][1].write(b"x")
+        await until(lambda: "h2" in rig.core.requests)
+        _, writer = await send_large(rig, "a")
+        assert (await rig.exchange(request("/look/1", LARGE, request_id="b"))).target == "503"
+        rig.service.hot_restart_actions.use_full_limits()
+        _, other = await send_large(rig, "b")
+        for each in (halves[2][1], writer, other):
+            each.close()
+
+
 @on_loop
 async def test_own_part_of_a_request_does_not_count_twice():
     async with DispatcherRig(respond, **LATE) as rig:
