Fairness between old and new protocol is tested in simulated time

On a busy machine the test process itself gets too little time, and 29 of 60 were served where 30 are wanted.

Change: tests/support/simulated_time.py runs a test whose peers are all on its event loop in simulated time: the selector advances time.monotonic to the next timer when no socket is ready.

--- a/tests/net/test_mixed_fleet.py
+++ b/tests/net/test_mixed_fleet.py
@@ -7,11 +7,12 @@
 import statistics
 
 import pytest
-from support.event_loop import on_loop, until
+from support.event_loop import until
 from support.fake_discovery import member, members
 from support.fake_server import ABORT, FakeServer
 from support.http_messages import ACCEPTED, CHUNKED_HEAD, chunk, exchange, request, response
 from support.router_rig import SETTINGS
+from support.simulated_time import in_simulated_time
 
 from dunepulley import gossip_codec
 from dunepulley.net.config import DispatcherConfig
@@ -161,7 +162,7 @@
 
 
 @pytest.mark.parametrize("protocols", ["ooon", "onon", "nnno", "nnnn"])
-@on_loop
+@in_simulated_time
 async def test_old_and_new_protocols_share_endpoints_fairly(protocols):
     async with MixedFleet(protocols) as fleet:
         turns = [
