Drains that come during a hot restart reach both processes before they are confirmed

Cause: a new process starts from the state that the old one sends once. Drains that the old one is told after that were not passed on, nor those that the new one is told while the old one finishes its requests.

Change: the drains in force go to the new process once more before it serves. While both serve, each passes drains on (DrainsForwarded) and answers the agent only once the other has confirmed them; without that within 1 s the agent gets a 400 and WHO reports no version, so that it sends them again. Link._ask serves callbacks and drains; CallbackAnswered is Answered, its wire form as before. A process of an earlier version ignores the message.

Ruled out: passing drains on before the new process can serve, as earlier versions read the state up to the end of what has arrived.

--- a/dunepulley/net/admin_commands.py
+++ b/dunepulley/net/admin_commands.py
@@ -15,6 +15,7 @@
 from dunepulley.net.core import Core
 from dunepulley.net.counters import Counters
 from dunepulley.net.frontend.server import DRAINED, FrontendServer
+from dunepulley.net.hot_restart import HotRestart
 from dunepulley.net.messages import (
     DrainsChanged,
     EndpointCountRequested,
@@ -25,6 +26,8 @@
 
 # Ends a reply of several lines.
 END_OF_LINES = "EOF"
+# Older than that of any set of drains: an agent then sends its own.
+NO_DRAINS_VERSION = (0.0, 0)
 
 
 def _json(value: Any) -> str:
@@ -35,12 +38,18 @@
     """Implements the commands on one dispatcher; each coroutine is the command of the same name."""
 
     def __init__(
-        self, config: DispatcherConfig, core: Core, frontend: FrontendServer, counters: Counters
+        self,
+        config: DispatcherConfig,
+        core: Core,
+        frontend: FrontendServer,
+        counters: Counters,
+        hot_restart: HotRestart,
     ) -> None:
         self.config = config
         self.core = core
         self.frontend = frontend
         self.counters = counters
+        self.hot_restart = hot_restart
 
     def commands(self) -> dict[str, Command]:
         """Return the commands without an argument, by name."""
@@ -94,11 +103,16 @@
                     "pid": os.getpid(),
                     "version": VERSION,
                     "leaving": self.frontend.drain_state,
-                    "drains": self.core.endpoints.drains.version,
+                    "drains": self._drains_version(),
                 }
             ),
         )
 
+    def _drains_version(self) -> tuple[float, int]:
+        """Return the version of the drains that this dispatcher, which may be two processes, applies."""
+        is_applied = self.hot_restart.has_shared_drains()
+        return self.core.endpoints.drains.version if is_applied else NO_DRAINS_VERSION
+
     async def workers(self) -> Reply:
         """WORKERS: print the state of each endpoint here, and the kinds that request classes require."""
         endpoints, required_kinds = (await self.core.ask(EndpointsRequested)).to_wire()
@@ -117,6 +131,8 @@
         except ValueError as error:
             return Reply(False, f"no set of drains: {error}".replace("\n", " "))
         accepted = await self.core.ask(DrainsChanged, requested)
+        if accepted and not await self.hot_restart.share_drains():
+            return Reply(False, "the other process of a hot restart has not confirmed the drains")
         return Reply(accepted, f"revision {self.core.endpoints.drains.revision} is in hand")
 
     async def plan(self, argument: str) -> Reply:
--- a/dunepulley/net/handover.py
+++ b/dunepulley/net/handover.py
@@ -16,7 +16,7 @@
 from dunepulley.net.hot_restart import HotRestart, Inherited
 from dunepulley.net.hot_restart.state import ClockState, HotRestartState
 from dunepulley.net.log_events import LogEvent
-from dunepulley.net.messages import WarmStateReceived, WarmStateRequested
+from dunepulley.net.messages import DrainsChanged, WarmStateReceived, WarmStateRequested
 from dunepulley.net.peers import Peers
 from dunepulley.net.upstream.client import UpstreamClient
 from dunepulley.routing.events import SlowStartBudgetAssigned
@@ -82,7 +82,7 @@
                 core.endpoints.entries.values(), core.endpoints.addresses, core.endpoints.revision
             ),
             discovery=self.watch.address,
-            drains=drain_json.encode_drain_set(core.endpoints.drains, core.clock),
+            drains=self.drains(),
             clock=ClockState(
                 core.clock.base, core.clock.monotonic_ms(), core.endpoints.starts.corrected_starts()
             ),
@@ -131,6 +131,14 @@
         """Reject requests with these ids from now on."""
         self.frontend.abandoned_requests.add(ids)
 
+    def drains(self) -> dict[str, Any]:
+        """Return the operators' drains in force, in their JSON form."""
+        return drain_json.encode_drain_set(self.core.endpoints.drains, self.core.clock)
+
+    async def apply_drains(self, drains: dict[str, Any]) -> None:
+        """Apply drains in their JSON form, unless they are older; raises ValueError if they are malformed."""
+        await self.core.ask(DrainsChanged, drain_json.decode_drain_set(drains, self.core.clock))
+
     async def _finish(self) -> None:
         await self.frontend.none_waiting.wait()
         while self.core.requests or self.frontend.server.has_unsent_responses():
--- a/dunepulley/net/hot_restart/coordinator.py
+++ b/dunepulley/net/hot_restart/coordinator.py
@@ -11,12 +11,13 @@
 from dunepulley.net.counters import Counters
 from dunepulley.net.hot_restart.child import Inherited
 from dunepulley.net.hot_restart.foreign_requests import ForeignRequests, messages_with
-from dunepulley.net.hot_restart.link import Link
+from dunepulley.net.hot_restart.link import DRAINS_APPLIED, Link
 from dunepulley.net.hot_restart.listener import ChildListener
 from dunepulley.net.hot_restart.messages import (
     PROTOCOL_VERSION,
-    CallbackAnswered,
+    Answered,
     CallbackForwarded,
+    DrainsForwarded,
     HandedOver,
     Hello,
     Ready,
@@ -31,6 +32,8 @@
 HELLO_TIMEOUT_S = 3.0
 # Sent with the listening socket: descriptors are passed over a Unix socket only together with data.
 DESCRIPTOR_CARRIER = b" "
+# The number of a message whose answer nobody waits for.
+UNANSWERED_NUMBER = 0
 
 
 class Dispatcher(Protocol):
@@ -63,6 +66,12 @@
     def add_abandoned(self, ids: list[str]) -> None:
         """Reject requests with these ids from now on."""
 
+    def drains(self) -> dict[str, Any]:
+        """Return the operators' drains in force, in their JSON form."""
+
+    async def apply_drains(self, drains: dict[str, Any]) -> None:
+        """Apply drains in their JSON form, unless they are older; raises ValueError if they are malformed."""
+
 
 class HotRestart:
     """Owns the link to the parent, the socket for a child, and the link to that child."""
@@ -80,8 +89,20 @@
         self._warm_state: Any = None
         # The ids that the parent and the child have taken.
         self.foreign_requests = ForeignRequests()
+        # Links to processes that have not confirmed the latest drains, which the values tell apart.
+        self._unconfirmed_drains: dict[Link, dict[str, Any]] = {}
         self._tasks: set[asyncio.Task] = set()
 
+    def _serving_child(self) -> Link | None:
+        """Return the link to a child that serves; before that a child reads only the state that it gets."""
+        return self.child if self._handed_over else None
+
+    def _forget(self, link: Link) -> None:
+        """Close a link whose process has ended, and forget what that process has told or owes."""
+        link.close()
+        self.foreign_requests.forget(link)
+        self._unconfirmed_drains.pop(link, None)
+
     def _run(self, coroutine: Awaitable[None]) -> None:
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
@@ -102,12 +123,13 @@
                 self._parent_released.set()
             elif isinstance(message, CallbackForwarded):
                 self._run(self._answer_callback(link, message, self.child))
+            elif isinstance(message, DrainsForwarded):
+                self._run(self._apply_drains(link, message, self._serving_child()))
             elif isinstance(message, RequestsTaken | RequestsAbandoned):
                 self._add_request_ids(link, message, self.child)
         # The parent has ended, normally or not: this process alone owns the listening socket now.
         self.parent = None
-        link.close()
-        self.foreign_requests.forget(link)
+        self._forget(link)
         self._parent_released.set()
         self.dispatcher.use_full_limits()
 
@@ -153,8 +175,7 @@
             log.write(LogEvent.HOT_RESTART, f"hot restart failed: {error!r}")
         finally:
             # Also reached if this task is cancelled because this process ends; then it does not resume.
-            link.close()
-            self.foreign_requests.forget(link)
+            self._forget(link)
             if self.child is link:
                 self.child = None
 
@@ -174,10 +195,14 @@
                 self.listener.stop()
                 # Before the child accepts its first connection.
                 self._send_all_ids(link)
+                # The state that the child started from may have older ones.
+                link.send(DrainsForwarded(self.dispatcher.drains(), UNANSWERED_NUMBER))
                 link.send(HandedOver(await self.dispatcher.hand_over()))
                 log.write(LogEvent.HOT_RESTART, "the child process serves; finishing the open requests")
             elif isinstance(message, CallbackForwarded):
                 self._run(self._answer_callback(link, message, self.parent))
+            elif isinstance(message, DrainsForwarded):
+                self._run(self._apply_drains(link, message, self.parent))
             elif isinstance(message, RequestsTaken | RequestsAbandoned):
                 self._add_request_ids(link, message, self.parent)
 
@@ -204,8 +229,7 @@
             return
         message = kind([request_id])
         self._send_ids(message, self.parent)
-        if self._handed_over:
-            self._send_ids(message, self.child)
+        self._send_ids(message, self._serving_child())
 
     def _send_all_ids(self, link: Link) -> None:
         """Send a child the ids that it must reject."""
@@ -252,7 +276,37 @@
         status = self.dispatcher.receive_callback(body)
         if status is None and other_link is not None:
             status = await other_link.forward_callback(body)
-        link.send(CallbackAnswered(message.number, status))
+        link.send(Answered(message.number, status))
+
+    # ---------------------------------------------------------------- drains
+
+    async def share_drains(self) -> bool:
+        """Have the processes that serve beside this one apply its drains; return whether all confirmed it."""
+        links = [link for link in (self.parent, self._serving_child()) if link is not None]
+        drains = self.dispatcher.drains()
+        await asyncio.gather(*[self._forward_drains(drains, link) for link in links])
+        return self.has_shared_drains()
+
+    def has_shared_drains(self) -> bool:
+        """Return whether all processes that serve beside this one have confirmed its drains."""
+        return not self._unconfirmed_drains
+
+    async def _forward_drains(self, drains: dict[str, Any], link: Link) -> bool:
+        """Have the process at a link apply drains; return whether it has confirmed these or later ones."""
+        self._unconfirmed_drains[link] = drains
+        if await link.forward_drains(drains) and self._unconfirmed_drains.get(link) is drains:
+            del self._unconfirmed_drains[link]
+        return link not in self._unconfirmed_drains
+
+    async def _apply_drains(self, link: Link, message: DrainsForwarded, other_link: Link | None) -> None:
+        """Apply drains from `link` here and at the process at `other_link`, then confirm them."""
+        try:
+            await self.dispatcher.apply_drains(message.drains)
+        except ValueError as error:
+            log.write(LogEvent.HOT_RESTART, f"cannot read the other process's drains: {error}")
+            return
+        if other_link is None or await self._forward_drains(message.drains, other_link):
+            link.send(Answered(message.number, DRAINS_APPLIED))
 
     # ---------------------------------------------------------------- the end
 
--- a/dunepulley/net/hot_restart/link.py
+++ b/dunepulley/net/hot_restart/link.py
@@ -1,26 +1,30 @@
-"""The connection between parent and child: messages, and answers to forwarded callbacks."""
+"""The connection between parent and child: messages, and the answers to some of them."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import orjson
 
 from dunepulley.net.hot_restart.messages import (
     MAX_MESSAGE_BYTES,
-    CallbackAnswered,
+    Answered,
     CallbackForwarded,
+    DrainsForwarded,
     Received,
     Sent,
     parse,
 )
 
-# How long a forwarded callback waits for an answer. After that the endpoint gets a 503 and retries.
-CALLBACK_TIMEOUT_S = 1.0
+# How long a forwarded message waits for an answer. After that the endpoint, or the agent, retries.
+ANSWER_TIMEOUT_S = 1.0
 SERVICE_UNAVAILABLE = 503
+DRAINS_APPLIED = 200
 
 
 class Link:
@@ -54,12 +58,12 @@
                 if not isinstance(document, dict):
                     break
                 message = parse(document)
-                if not isinstance(message, CallbackAnswered):
+                if not isinstance(message, Answered):
                     return message
                 self._resolve(message)
         return None
 
-    def _resolve(self, message: CallbackAnswered) -> None:
+    def _resolve(self, message: Answered) -> None:
         answer = self._unanswered.get(message.number)
         if answer is not None and not answer.done():
             answer.set_result(message.status)
@@ -68,7 +72,26 @@
         """Forward a callback to the other process and return the HTTP status of its answer.
 
         None if the request is open neither there nor in a process linked to it; 503 if there is no answer
-        within `CALLBACK_TIMEOUT_S`.
+        within `ANSWER_TIMEOUT_S`.
+        """
+        try:
+            return await self._ask(partial(CallbackForwarded, body.decode()))
+        except TimeoutError:
+            return SERVICE_UNAVAILABLE
+
+    async def forward_drains(self, drains: dict[str, Any]) -> bool:
+        """Have the other process apply drains in their JSON form.
+
+        Returns whether it has confirmed that within `ANSWER_TIMEOUT_S`, or has ended.
+        """
+        with contextlib.suppress(TimeoutError):
+            return await self._ask(partial(DrainsForwarded, drains)) == DRAINS_APPLIED or self.closed
+        return False
+
+    async def _ask(self, message_of: Callable[[int], Sent]) -> int | None:
+        """Send a message with a number; return the status of its answer, None if the link is closed.
+
+        Raises TimeoutError.
         """
         if self.closed:
             return None
@@ -76,16 +99,14 @@
         number = self._last_number
         answer = self._unanswered[number] = asyncio.get_running_loop().create_future()
         try:
-            self.send(CallbackForwarded(body.decode(), number))
-            async with asyncio.timeout(CALLBACK_TIMEOUT_S):
+            self.send(message_of(number))
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 return await answer
-        except TimeoutError:
-            return SERVICE_UNAVAILABLE
         finally:
             del self._unanswered[number]
 
     def close(self) -> None:
-        """Close the connection; callbacks that wait for an answer get None."""
+        """Close the connection; messages that wait for an answer get None."""
         self.closed = True
         self.writer.close()
         for answer in self._unanswered.values():
--- a/dunepulley/net/hot_restart/messages.py
+++ b/dunepulley/net/hot_restart/messages.py
@@ -64,8 +64,22 @@
         return {"callback": self.body, "number": self.number}
 
 
-class CallbackAnswered(NamedTuple):
-    """The HTTP status for a forwarded callback; None if its request is not open there."""
+class DrainsForwarded(NamedTuple):
+    """Operators' drains in their JSON form, which the other process applies; the answer repeats `number`."""
+
+    drains: dict[str, Any]
+    number: int
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the message in its JSON form."""
+        return {"drains": self.drains, "number": self.number}
+
+
+class Answered(NamedTuple):
+    """The answer to a message with this number.
+
+    `status` is the HTTP status for a callback, None if its request is not open there; 200 for applied drains.
+    """
 
     number: int
     status: int | None
@@ -99,9 +113,9 @@
     """A message of another version of the protocol."""
 
 
-AboutRequests = CallbackForwarded | CallbackAnswered | RequestsTaken | RequestsAbandoned
-Sent = Hello | Refused | Ready | HandedOver | AboutRequests
-Received = Hello | Ready | HandedOver | AboutRequests | Unknown
+AboutRequests = CallbackForwarded | Answered | RequestsTaken | RequestsAbandoned
+Sent = Hello | Refused | Ready | HandedOver | DrainsForwarded | AboutRequests
+Received = Hello | Ready | HandedOver | DrainsForwarded | AboutRequests | Unknown
 
 
 def parse(message: dict[str, Any]) -> Received:
@@ -109,6 +123,8 @@
     about_requests = _parse_about_requests(message)
     if about_requests is not None:
         return about_requests
+    if isinstance(message.get("drains"), dict) and "number" in message:
+        return DrainsForwarded(message["drains"], message["number"])
     if "yours" in message:
         return HandedOver(message["yours"])
     if "ready" in message:
@@ -121,7 +137,7 @@
 def _parse_about_requests(message: dict[str, Any]) -> AboutRequests | None:
     """Return the message in a JSON object, if it is one about requests or their callbacks."""
     if "to" in message:
-        return CallbackAnswered(message["to"], message.get("status"))
+        return Answered(message["to"], message.get("status"))
     if isinstance(message.get("callback"), str) and "number" in message:
         return CallbackForwarded(message["callback"], message["number"])
     if isinstance(message.get("taken"), list):
--- a/dunepulley/net/service.py
+++ b/dunepulley/net/service.py
@@ -76,14 +76,14 @@
         self.frontend.server.on_accepted = self.upstream.close_excess_idle
         self.frontend.server.max_partial_bytes = int(config.memory_mb * INCOMPLETE_REQUEST_BYTES_PER_MB)
         self.frontend.server.max_request_bytes = int(config.memory_mb * REQUEST_BYTES_PER_MB)
-        self.admin_commands = AdminCommands(config, self.core, self.frontend, self.counters)
-        self.admin = self._create_admin_server(max_descriptors)
         self.watch = DiscoveryWatch(config, self.core, self.counters, self._task_ended)
         self.hot_restart_actions = HotRestartActions(
             self.core, self.frontend, self.upstream, self.peers, self.watch, self._open_gossip
         )
         path = socket_path(config.temp_dir, *config.listen)
         self.hot_restart = HotRestart(self.hot_restart_actions, path, self.counters)
+        self.admin_commands = AdminCommands(config, self.core, self.frontend, self.counters, self.hot_restart)
+        self.admin = self._create_admin_server(max_descriptors)
         self.frontend.callbacks.forward = self.hot_restart.forward_callback
         self.frontend.foreign_requests = self.hot_restart.foreign_requests
         self.frontend.announce_request = self.hot_restart.announce_request
--- a/tests/net/test_hot_restart.py
+++ b/tests/net/test_hot_restart.py
@@ -280,7 +280,7 @@
 
 @on_loop
 async def test_a_callback_gets_503_if_the_other_process_does_not_answer(monkeypatch):
-    monkeypatch.setattr(hot_restart.link, "CALLBACK_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(hot_restart.link, "ANSWER_TIMEOUT_S", 0.05)
     local_end, remote_end = socket.socketpair()
     async with DispatcherRig(accept) as rig:
         link = rig.service.hot_restart.parent = await hot_restart.Link.over(local_end)
--- a/tests/net/test_hot_restart_versions.py
+++ b/tests/net/test_hot_restart_versions.py
@@ -147,15 +147,15 @@
 
 def test_the_recorded_messages_are_read():
     parsed = [messages.parse(message) for message in (CHILD_HELLO, CHILD_READY, CHILD_CALLBACK, CHILD_ANSWER)]
-    kinds = [messages.Hello, messages.Ready, messages.CallbackForwarded, messages.CallbackAnswered]
+    kinds = [messages.Hello, messages.Ready, messages.CallbackForwarded, messages.Answered]
     assert [type(message) for message in parsed] == kinds
     assert parsed[:2] == [messages.Hello(messages.PROTOCOL_VERSION, "n0"), messages.Ready()]
     assert parsed[2] == messages.CallbackForwarded(CHILD_CALLBACK["callback"], 1)
     assert json.loads(parsed[2].body)["id"] == "held"
-    assert parsed[3] == messages.CallbackAnswered(1, None)
+    assert parsed[3] == messages.Answered(1, None)
     assert [messages.parse(message) for message in PARENT_ANSWERS] == [
-        messages.CallbackAnswered(1, 204),
-        messages.CallbackAnswered(2, None),
+        messages.Answered(1, 204),
+        messages.Answered(2, None),
     ]
 
 
@@ -197,7 +197,7 @@
     assert messages.Hello(messages.PROTOCOL_VERSION, "n0").to_json() == CHILD_HELLO
     assert messages.Ready().to_json() == CHILD_READY
     assert messages.CallbackForwarded(CHILD_CALLBACK["callback"], 1).to_json() == CHILD_CALLBACK
-    assert messages.CallbackAnswered(1, None).to_json() == CHILD_ANSWER
-    assert messages.CallbackAnswered(1, 204).to_json() == PARENT_ANSWERS[0]
+    assert messages.Answered(1, None).to_json() == CHILD_ANSWER
+    assert messages.Answered(1, 204).to_json() == PARENT_ANSWERS[0]
     for message in (CHILD_HELLO, CHILD_READY, CHILD_CALLBACK, CHILD_ANSWER, *PARENT_ANSWERS):
         assert list(messages.parse(message).to_json()) == list(message)
