Floods of excessive responses from endpoints, against a real process with a memory limit

tests/net/test_flood_memory.py plays them as it plays those of clients: 300 clients with requests of 64 KB, and endpoints that answer with 6,000 responses at once, 20,000 interim responses, or a body in 60,000 chunks.

--- a/tests/net/test_flood_memory.py
+++ b/tests/net/test_flood_memory.py
@@ -8,7 +8,7 @@
 import pytest
 from support.dispatcher_process import DispatcherHost
 from support.event_loop import on_loop
-from support.http_messages import HEALTH_REQUEST, read_message
+from support.http_messages import ACCEPTED, CHUNKED_HEAD, HEALTH_REQUEST, chunk, read_message, response
 
 CLIENTS, FLOOD_S = 300, 1.5
 MEMORY_MB = 80
@@ -50,6 +50,13 @@
 }
 
 
+EXCESSIVE_REPLIES = {
+    "many responses": response(500) * 6000,
+    "interim responses": b"HTTP/1.1 102 Any\r\n\r\n" * 20_000,
+    "tiny chunks": CHUNKED_HEAD + chunk(b"x") * 60_000,
+}
+
+
 async def attack(port, message, end_s):
     """Send one message after the other over new connections, and read the responses."""
     loop = asyncio.get_running_loop()
@@ -86,18 +93,31 @@
     return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM")) / 1024.0
 
 
-@pytest.mark.parametrize("kind", FLOODS)
-@on_loop
-async def test_flood_neither_exceeds_the_memory_limit_nor_stops_health_checks(kind, tmp_path):
-    # Guards against a process that is killed for its memory, or answers nobody, while hundreds of clients
-    # send what it cannot serve.
-    async with DispatcherHost(tmp_path) as host:
+async def assert_within_limits(folder, message, reply=ACCEPTED):
+    """Flood a process with a message, with endpoints that send a reply; check its memory and health."""
+    async with DispatcherHost(folder) as host:
         host.limits = {"memory_mb": MEMORY_MB, "sockets": 1024}
+        host.worker.script = lambda call: response(204) if call.method == "DELETE" else reply
         node = await host.start_healthy()
         end_s = asyncio.get_running_loop().time() + FLOOD_S
-        attacks = [attack(host.port, FLOODS[kind], end_s) for _ in range(CLIENTS)]
+        attacks = [attack(host.port, message, end_s) for _ in range(CLIENTS)]
         longest_s, *_ = await asyncio.gather(check_health(host.port, end_s), *attacks)
         assert peak_memory_mb(node.process.pid) < MEMORY_MB
         assert longest_s < MAX_HEALTH_CHECK_S
         assert (await host.exchange(HEALTH_REQUEST)).target == "200"
         assert node.process.returncode is None
+
+
+@pytest.mark.parametrize("kind", FLOODS)
+@on_loop
+async def test_flood_neither_exceeds_the_memory_limit_nor_stops_health_checks(kind, tmp_path):
+    # Guards against a process that is killed for its memory, or answers nobody, while hundreds of clients
+    # send what it cannot serve.
+    await assert_within_limits(tmp_path, FLOODS[kind])
+
+
+@pytest.mark.parametrize("kind", EXCESSIVE_REPLIES)
+@on_loop
+async def test_excessive_replies_neither_exceed_the_memory_limit_nor_stop_health_checks(kind, tmp_path):
+    # Guards against the same where endpoints, or what stands in between, send more than one response may be.
+    await assert_within_limits(tmp_path, FLOODS["large requests"], EXCESSIVE_REPLIES[kind])
