Tracebacks of errors that name each other as their cause are dropped without a loop

Found by reading the change once more: drop_tracebacks follows causes, and two exceptions may name each other. Python allows it; the HTTP library was not seen to do it. Each exception is handled once. The new test of tests/net/test_exchange_memory.py would not have ended before.

--- a/dunepulley/net/tracebacks.py
+++ b/dunepulley/net/tracebacks.py
@@ -10,6 +10,9 @@
 
 def drop_tracebacks(error: BaseException | None) -> None:
     """Remove the tracebacks of a handled exception and of those that caused it."""
-    while error is not None:
+    # Exceptions may name each other as their cause.
+    handled: set[int] = set()
+    while error is not None and id(error) not in handled:
+        handled.add(id(error))
         error.__traceback__ = None
         error = error.__cause__ or error.__context__
--- a/tests/net/test_exchange_memory.py
+++ b/tests/net/test_exchange_memory.py
@@ -149,3 +149,11 @@
     assert None not in [error.__traceback__ for error in errors]
     drop_tracebacks(errors[2])
     assert [error.__traceback__ for error in errors] == [None] * 3
+
+
+def test_errors_that_cause_each_other_are_handled_once():
+    # Guards against a loop without end.
+    errors = [raised(ValueError()), raised(KeyError())]
+    errors[0].__cause__, errors[1].__cause__ = errors[1], errors[0]
+    drop_tracebacks(errors[0])
+    assert [error.__traceback__ for error in errors] == [None, None]
