After two hot restarts in a row the first process does not serve beside the third

What callers saw: answers with an empty body or none, after a second hot restart while the first process still had open requests. Found in a trial of hot restarts under a flood: "the child process has ended; this process serves again" while another process served.

Cause: a process ended as soon as its child served and it had no open requests, although callbacks, ids and drains between its own parent and its child go through it; and a parent whose child has ended served again, whether another process serves or not. Ruled out: the flood itself, as the tests need none.

Change: a process that has handed over ends only after its own parent. A parent whose child has ended first asks at the path of the socket whether another process serves; then it finishes its requests and ends. A process whose parent ends keeps to its half of the limits while its own child runs (use_full_limits is parent_ended).

Tests of hot restart and shutdown pass.

--- a/dunepulley/net/handover.py
+++ b/dunepulley/net/handover.py
@@ -48,7 +48,11 @@
         self.peers = peers
         self.watch = watch
         self.open_gossip = open_gossip
-        self.finished = asyncio.Event()  # set once a child serves and this process has no open requests
+        # Set once a child serves, and neither this process nor its parent has open requests.
+        self.finished = asyncio.Event()
+        # Cleared while a parent runs: callbacks between it and the child of this process go through here.
+        self._parent_ended = asyncio.Event()
+        self._parent_ended.set()
         self.task: asyncio.Task | None = None
 
     # ---------------------------------------------------------------- as the child
@@ -57,14 +61,17 @@
         """Take over from the parent once an endpoint is ready."""
         self.core.put(SlowStartBudgetAssigned(False))
         self._use_limits(SHARED_LIMIT_FRACTION)
+        self._parent_ended.clear()
         await hot_restart.follow(inherited)
         await self.core.endpoints.became_usable.wait()
         self.core.put(WarmStateReceived(await hot_restart.take_over()))
         self.core.put(SlowStartBudgetAssigned(True))
 
-    def use_full_limits(self) -> None:
-        """Use the full connection limits, because the parent has ended."""
-        self._use_limits(FULL_LIMIT_FRACTION)
+    def parent_ended(self) -> None:
+        """Use the full limits, unless a child needs its part of them, and wait for the parent no more."""
+        self._parent_ended.set()
+        if self.frontend.drain_state != HANDED_OVER:
+            self._use_limits(FULL_LIMIT_FRACTION)
 
     # ---------------------------------------------------------------- as the parent
 
@@ -144,6 +151,7 @@
         while self.core.requests or self.frontend.server.has_unsent_responses():
             # Wait for cancellations in progress, incomplete requests, and responses not written yet.
             await asyncio.sleep(shutdown.POLL_INTERVAL_S)
+        await self._parent_ended.wait()
         self.finished.set()
 
     # ---------------------------------------------------------------- both
--- a/dunepulley/net/hot_restart/child.py
+++ b/dunepulley/net/hot_restart/child.py
@@ -67,6 +67,18 @@
             os.close(descriptor)
 
 
+def is_served(path: str) -> bool:
+    """Return whether a process waits for its child at a path."""
+    try:
+        link = _connect(path)
+    except HotRestartError:
+        return True
+    if link is None:
+        return False
+    link.close()
+    return True
+
+
 def _connect(path: str) -> socket.socket | None:
     """Return a connection to the running process, or None if none can be found.
 
--- a/dunepulley/net/hot_restart/coordinator.py
+++ b/dunepulley/net/hot_restart/coordinator.py
@@ -9,7 +9,7 @@
 
 from dunepulley.net import log
 from dunepulley.net.counters import Counters
-from dunepulley.net.hot_restart.child import Inherited
+from dunepulley.net.hot_restart.child import Inherited, is_served
 from dunepulley.net.hot_restart.foreign_requests import ForeignRequests, messages_with
 from dunepulley.net.hot_restart.link import DRAINS_APPLIED, Link
 from dunepulley.net.hot_restart.listener import ChildListener
@@ -51,8 +51,8 @@
     def resume(self) -> bool:
         """Serve again, because the child has ended; return False if this process is ending, too."""
 
-    def use_full_limits(self) -> None:
-        """Use the full connection limits, because the parent has ended."""
+    def parent_ended(self) -> None:
+        """Use the full limits, because the parent has ended, and do not wait for it any more."""
 
     def receive_callback(self, body: bytes) -> int | None:
         """Return the HTTP status for a callback; None if its request is not open in this process."""
@@ -131,7 +131,7 @@
         self.parent = None
         self._forget(link)
         self._parent_released.set()
-        self.dispatcher.use_full_limits()
+        self.dispatcher.parent_ended()
 
     async def take_over(self) -> Any:
         """Notify the parent that this process can serve, and wait until it has stopped accepting connections.
@@ -211,6 +211,8 @@
         self.child = None
         if not handed_over:
             log.write(LogEvent.HOT_RESTART, "the child process ended before it could serve")
+        elif is_served(self.path):
+            log.write(LogEvent.HOT_RESTART, "the child process has ended, and its own child serves")
         elif self.dispatcher.resume():
             self.listen_for_child()
 
--- a/tests/net/test_request_memory.py
+++ b/tests/net/test_request_memory.py
@@ -12,7 +12,7 @@
 from dunepulley.net.frontend import connection as client_connection
 from dunepulley.net.frontend import connection_table
 from dunepulley.net.frontend.connection import MAX_KEPT_HEAD_BYTES
-from dunepulley.net.handover import SHARED_LIMIT_FRACTION
+from dunepulley.net.handover import FULL_LIMIT_FRACTION, SHARED_LIMIT_FRACTION
 
 LARGE = b"x" * 60_000
 LATE = {f"categories__{number}__dueTimeMs": 60000.0 for number in range(3)}
@@ -106,7 +106,7 @@
         await until(lambda: "h2" in rig.core.requests)
         _, writer = await send_large(rig, "a")
         assert (await rig.exchange(request("/look/1", LARGE, request_id="b"))).target == "503"
-        rig.service.hot_restart_actions.use_full_limits()
+        rig.service.hot_restart_actions._use_limits(FULL_LIMIT_FRACTION)
         _, other = await send_large(rig, "b")
         for each in (halves[2][1], writer, other):
             each.close()
